Serve a request end to end as separate processes

Cause: the project was empty. Change: the agreed state folded from the platform's log, membership by list and heartbeats, account tokens lent between VMs, one dispatcher for each lane of prefill and decode pools, the callers' and operators' interfaces, the command line, and stand-ins for the platform, the engines and a desk. Not yet: tests, model checking, measurements, docs.

--- /dev/null
+++ b/app/get.go
@@ -0,0 +1,72 @@
+package app
+
+import (
+	"flag"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cassiabridge/cassiabridge/resource"
+)
+
+type resourceList struct {
+	Version   uint64
+	Resources []resource.Document
+}
+
+func getCommand() command {
+	return command{
+		name: "get", synopsis: "Show resources.", args: "[KIND | KIND/NAME]",
+		examples: []string{"cassiabridge get", "cassiabridge get Upstream", "cassiabridge get -output json Route/notes"},
+		setup: func(flags *flag.FlagSet) func(Common, []string) error {
+			connect := clientFlags(flags)
+			return func(common Common, args []string) error {
+				c, err := connect(common)
+				if err != nil {
+					return err
+				}
+				if len(args) > 1 {
+					return usageError("get takes at most one kind or resource")
+				}
+				return c.get(strings.Join(args, ""))
+			}
+		},
+	}
+}
+
+func (c *client) get(what string) error {
+	kind, name, single := strings.Cut(what, "/")
+	if single {
+		var doc resource.Document
+		if err := c.call(http.MethodGet, resourcePath(kind, name), nil, nil, &doc); err != nil {
+			return err
+		}
+		return c.print(doc, resourceHeader, [][]string{resourceRow(doc)})
+	}
+	list, err := c.list(kind)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, doc := range list.Resources {
+		rows = append(rows, resourceRow(doc))
+	}
+	return c.print(list, resourceHeader, rows)
+}
+
+func (c *client) list(kind string) (resourceList, error) {
+	var list resourceList
+	err := c.call(http.MethodGet, "/v1/resources", url.Values{"Kind": {kind}}, nil, &list)
+	return list, err
+}
+
+var resourceHeader = []string{"KIND", "NAME", "VERSION", "SPEC"}
+
+func resourceRow(doc resource.Document) []string {
+	return []string{string(doc.Kind), doc.Name, strconv.FormatUint(doc.Version, 10), string(doc.Spec)}
+}
+
+func resourcePath(kind, name string) string {
+	return "/v1/resources/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
--- /dev/null
+++ b/app/serve.go
@@ -0,0 +1,125 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/cassiabridge/cassiabridge/caller"
+	"github.com/cassiabridge/cassiabridge/control"
+	"github.com/cassiabridge/cassiabridge/engine"
+	"github.com/cassiabridge/cassiabridge/metrics"
+	"github.com/cassiabridge/cassiabridge/operator"
+	"github.com/cassiabridge/cassiabridge/peer"
+	"github.com/cassiabridge/cassiabridge/service"
+	"github.com/cassiabridge/cassiabridge/settings"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	cancelGrace   = 5 * time.Second
+)
+
+func serveCommand() command {
+	return command{
+		name: "serve", synopsis: "Run the router on this VM.", args: "SETTINGS",
+		examples: []string{"cassiabridge serve settings.jsonc"},
+		setup: func(*flag.FlagSet) func(Common, []string) error {
+			return func(common Common, args []string) error {
+				if len(args) != 1 {
+					return usageError("serve takes one settings file")
+				}
+				cfg, err := settings.Load(args[0])
+				if err != nil {
+					return err
+				}
+				ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+				defer stop()
+				return Serve(ctx, cfg, newLogger(common.Stderr, cfg))
+			}
+		},
+	}
+}
+
+// Serve runs the router until ctx is done, and then shuts down without cutting a request.
+func Serve(ctx context.Context, cfg settings.Settings, log *zap.Logger) error {
+	self := peer.Identity{VM: cfg.VM, Incarnation: uuid.NewString()[:8]}
+	log = log.With(zap.String("VM", self.VM))
+	measures := metrics.New()
+	engines, closeEngines := engine.NewClient()
+	defer closeEngines()
+	cancels, closeCancels := engine.NewCanceller(engines, cancelGrace)
+	services, closeServices := service.NewClient(cfg.Limits.ServiceBytes)
+	defer closeServices()
+	ctl, closeControl, err := control.New(cfg, self, engines, cancels, control.WithLogger(log), control.WithMetrics(measures))
+	if err != nil {
+		closeCancels()
+		return err
+	}
+	defer closeControl()
+	defer closeCancels()
+	callers := caller.New(cfg, ctl, engines, cancels, services, caller.WithLogger(log), caller.WithMetrics(measures))
+	operators, err := operator.New(cfg, ctl, measures, operator.WithLogger(log))
+	if err != nil {
+		return err
+	}
+	callerServer, callerFailed, err := listen(cfg.Listen.Callers, callers.Handler(), cfg.Limits.HeaderBytes)
+	if err != nil {
+		return err
+	}
+	operatorServer, operatorFailed, err := listen(cfg.Listen.Operators, operators, cfg.Limits.HeaderBytes)
+	if err != nil {
+		return err
+	}
+	defer operatorServer.Close()
+	log.Info("started", zap.String("Incarnation", self.Incarnation), zap.String("Version", Version),
+		zap.String("Callers", cfg.Listen.Callers), zap.String("Operators", cfg.Listen.Operators), zap.String("Peers", cfg.Listen.Peers))
+	select {
+	case <-ctx.Done():
+	case err := <-callerFailed:
+		return err
+	case err := <-operatorFailed:
+		return err
+	}
+	return drain(cfg, ctl, callerServer, log)
+}
+
+// listen serves a handler at an address. The channel gets the error with which serving ended early.
+func listen(addr string, handler http.Handler, headerBytes int) (*http.Server, <-chan error, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, nil, &Error{Op: "listen", Kind: "Failed", Err: err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+	failed := make(chan error, 1)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- &Error{Op: "serve " + addr, Kind: "Failed", Err: err}
+		}
+	}()
+	return server, failed, nil
+}
+
+// drain tells the peers and the balancer that this VM leaves, and waits for the requests under way.
+func drain(cfg settings.Settings, ctl *control.Controller, server *http.Server, log *zap.Logger) error {
+	log.Info("draining")
+	ctl.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.Timing.Drain())
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		log.Error("drain-incomplete", zap.Error(err))
+		return &Error{Op: "drain", Kind: "Timeout", Err: fmt.Errorf("requests were still under way: %w", err)}
+	}
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/control/orders.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiabridge/cassiabridge/catalog"
+	"github.com/cassiabridge/cassiabridge/engine"
+	"github.com/cassiabridge/cassiabridge/resource"
+)
+
+const (
+	orderPeriod  = 500 * time.Millisecond
+	orderTimeout = 2 * time.Second
+)
+
+type orderKey struct {
+	upstream string
+	action   resource.OrderAction
+}
+
+// sendOrders brings the engines that this VM ranks first for to their desired state. One order is
+// in flight for each engine. Engines that check no fencing number are compared and told again.
+func (c *Controller) sendOrders(now time.Time) {
+	if !c.Snapshot().Fresh(now) {
+		return
+	}
+	for _, order := range newestOrders(c.view.Orders) {
+		upstream, exists := c.view.Upstreams[order.Upstream]
+		_, busy := c.orders[order.Upstream]
+		if !exists || busy || c.roster.First("order/"+order.Upstream, now) != c.self.VM {
+			continue
+		}
+		c.orders[order.Upstream] = now
+		go c.settleOrder(order, upstream)
+	}
+}
+
+// newestOrders returns the order with the highest fencing number for each engine and action.
+func newestOrders(orders []catalog.VersionedOrder) map[orderKey]catalog.VersionedOrder {
+	newest := map[orderKey]catalog.VersionedOrder{}
+	for _, order := range orders {
+		key := orderKey{upstream: order.Upstream, action: order.Action}
+		if order.Fence > newest[key].Fence {
+			newest[key] = order
+		}
+	}
+	return newest
+}
+
+// settleOrder compares what an engine reports with what is desired and sends the order if they differ.
+func (c *Controller) settleOrder(order catalog.VersionedOrder, upstream resource.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	defer c.post(func() { delete(c.orders, order.Upstream) })
+	report, err := c.engines.Report(ctx, upstream.Address, upstream.Name)
+	if err != nil || report.Orders[string(order.Action)] == order.Value {
+		return
+	}
+	// The order may have been superseded, or the state lost its freshness, while the report was read.
+	snapshot := c.Snapshot()
+	current := newestOrders(snapshot.View.Orders)[orderKey{upstream: order.Upstream, action: order.Action}]
+	if current.Fence != order.Fence || !snapshot.Fresh(c.now()) {
+		return
+	}
+	err = c.engines.Order(ctx, upstream.Address, order.Fence, string(order.Action), order.Value)
+	var engineErr *engine.Error
+	fenced := errors.As(err, &engineErr) && engineErr.Kind == engine.ErrFenced
+	c.log.Info("order-sent", zap.String("Upstream", upstream.Name), zap.String("Action", string(order.Action)),
+		zap.String("Value", order.Value), zap.Uint64("Fence", order.Fence), zap.Bool("Fenced", fenced), zap.Error(err))
+}
--- /dev/null
+++ b/engine/report.go
@@ -0,0 +1,41 @@
+package engine
+
+import (
+	"context"
+
+	"github.com/cassiabridge/cassiabridge/dispatch"
+)
+
+// Report is what an engine says of itself, with a lag.
+type Report struct {
+	Load dispatch.Load
+	// HeldBytes is the KV memory in use.
+	HeldBytes int64
+	// Orders gives the value in force for each order action.
+	Orders map[string]string
+	Fence  uint64
+}
+
+type reportAnswer struct {
+	Attempts  []string
+	HeldBytes int64
+	Cache     cacheEvents
+	Orders    map[string]string
+	Fence     uint64
+}
+
+type cacheEvents struct {
+	From, To       uint64
+	Added, Removed []uint64
+}
+
+// Report reads the load of an engine.
+func (c *Client) Report(ctx context.Context, addr, name string) (Report, error) {
+	var a reportAnswer
+	if err := c.call(ctx, "report", "http://"+addr+"/report", nil, &a); err != nil {
+		return Report{}, err
+	}
+	load := dispatch.Load{Engine: name, Attempts: a.Attempts, CacheAdded: a.Cache.Added, CacheRemoved: a.Cache.Removed,
+		CacheFrom: a.Cache.From, CacheTo: a.Cache.To}
+	return Report{Load: load, HeldBytes: a.HeldBytes, Orders: a.Orders, Fence: a.Fence}, nil
+}
--- /dev/null
+++ b/peer/identity.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+)
+
+const nonceBytes = 16
+
+// Identity is one run of a VM's process.
+type Identity struct {
+	VM          string
+	Incarnation string
+}
+
+func newNonce() string {
+	raw := make([]byte, nonceBytes)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+// proof binds an identity to both nonces, so that it cannot be replayed or reflected.
+func proof(secret, side string, id Identity, clientNonce, serverNonce string) string {
+	mac := hmac.New(sha256.New, []byte(secret))
+	mac.Write([]byte(strings.Join([]string{side, id.VM, id.Incarnation, clientNonce, serverNonce}, "\x00")))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+func proofEqual(a, b string) bool { return hmac.Equal([]byte(a), []byte(b)) }
--- /dev/null
+++ b/peer/wire.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/cassiabridge/cassiabridge/dispatch"
+	"github.com/cassiabridge/cassiabridge/roster"
+)
+
+// The methods of the peer protocol.
+const (
+	methodChallenge = "Challenge"
+	methodHello     = "Hello"
+	methodHeartbeat = "Heartbeat"
+	methodState     = "State"
+	methodBorrow    = "Borrow"
+	methodSettle    = "Settle"
+	methodWithdraw  = "Withdraw"
+	methodJobs      = "Jobs"
+	methodDecide    = "Decide"
+)
+
+type challengeAnswer struct{ Nonce string }
+
+type helloMessage struct {
+	VM, Incarnation, Nonce, Proof string
+}
+
+type helloAnswer struct {
+	VM, Incarnation, Proof string
+}
+
+type heartbeatMessage struct {
+	VM, Incarnation string
+	Next            uint64
+	LogAgeMillis    int64
+	Ready, Draining bool     `json:",omitempty"`
+	Withdrawn       []string `json:",omitempty"`
+}
+
+func encodeHeartbeat(h roster.Heartbeat) heartbeatMessage {
+	return heartbeatMessage{VM: h.VM, Incarnation: h.Incarnation, Next: h.Next, LogAgeMillis: h.LogAge.Milliseconds(),
+		Ready: h.Ready, Draining: h.Draining, Withdrawn: h.Withdrawn}
+}
+
+func (m heartbeatMessage) decode() roster.Heartbeat {
+	return roster.Heartbeat{VM: m.VM, Incarnation: m.Incarnation, Next: m.Next, LogAge: time.Duration(m.LogAgeMillis) * time.Millisecond,
+		Ready: m.Ready, Draining: m.Draining, Withdrawn: m.Withdrawn}
+}
+
+type stateAnswer struct{ Data []byte }
+
+type borrowMessage struct {
+	ID, Account string
+	Want        float64
+	TermMillis  int64
+}
+
+type borrowAnswer struct{ Amount float64 }
+
+type withdrawMessage struct{ Keys []string }
+
+type settleMessage struct{ Settlements []Settlement }
+
+// jobMessage carries times as distances from now, since the clocks of VMs differ.
+type jobMessage struct {
+	ID           string
+	Account      string
+	Weight       float64
+	PromptTokens int
+	OutputTokens int
+	Prefix       []uint64 `json:",omitempty"`
+	AgeMicros    int64
+	DueMicros    int64
+	GiveUpMicros int64
+	Urgent       bool           `json:",omitempty"`
+	Avoid        []string       `json:",omitempty"`
+	Stage        dispatch.Stage `json:",omitempty"`
+	Prefill      string         `json:",omitempty"`
+	Decode       string         `json:",omitempty"`
+}
+
+type jobsMessage struct {
+	Lane      string
+	Jobs      []jobMessage  `json:",omitempty"`
+	Prefilled []string      `json:",omitempty"`
+	Finished  []FinishedJob `json:",omitempty"`
+	Whole     bool          `json:",omitempty"`
+}
+
+func encodeJobs(now time.Time, u JobUpdate) jobsMessage {
+	m := jobsMessage{Lane: u.Lane, Prefilled: u.Prefilled, Finished: u.Finished, Whole: u.Whole}
+	for _, j := range u.Jobs {
+		r := j.Request
+		m.Jobs = append(m.Jobs, jobMessage{
+			ID: r.ID, Account: r.Account, Weight: r.Weight, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+			Prefix: r.Prefix, AgeMicros: now.Sub(r.ArrivedAt).Microseconds(), DueMicros: r.FirstTokenBy.Sub(now).Microseconds(),
+			GiveUpMicros: r.GiveUpAt.Sub(now).Microseconds(), Urgent: r.Urgent, Avoid: r.Avoid,
+			Stage: j.Stage, Prefill: j.Prefill, Decode: j.Decode,
+		})
+	}
+	return m
+}
+
+func (m jobsMessage) decode(now time.Time, from Identity) JobUpdate {
+	u := JobUpdate{Lane: m.Lane, Prefilled: m.Prefilled, Finished: m.Finished, Whole: m.Whole}
+	for _, j := range m.Jobs {
+		u.Jobs = append(u.Jobs, Job{Stage: j.Stage, Prefill: j.Prefill, Decode: j.Decode, Request: dispatch.Request{
+			ID: j.ID, VM: from.VM, Incarnation: from.Incarnation, Account: j.Account, Weight: j.Weight,
+			PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, Prefix: j.Prefix,
+			ArrivedAt: now.Add(-micros(j.AgeMicros)), FirstTokenBy: now.Add(micros(j.DueMicros)), GiveUpAt: now.Add(micros(j.GiveUpMicros)),
+			Urgent: j.Urgent, Avoid: j.Avoid,
+		}})
+	}
+	return u
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+type decideMessage struct {
+	Lane      string
+	Decisions []dispatch.Decision
+}
