--- a/control/snapshots.go
+++ b/control/snapshots.go
@@ -11,8 +11,10 @@
 
 const (
 	snapshotPeriod = time.Second
-	// snapshotRetry is how long a snapshot may take to appear before another is written.
-	snapshotRetry = 10 * time.Second
+	// snapshotRetries is how often a snapshot is tried in the time for which the log keeps records.
+	snapshotRetries = 8
+	// maxSnapshotRetry bounds how long a snapshot may take to appear before another is written.
+	maxSnapshotRetry = 10 * time.Second
 	// snapshotEntries is after how many entries a new VM should not need to read more.
 	snapshotEntries = 20_000
 )
@@ -45,7 +47,8 @@
 	if !whole || !c.headRead || state.Next == 1 || c.roster.First("snapshot", now) != c.self.VM {
 		return
 	}
-	if now.Sub(c.snapshots.writtenAt) < snapshotRetry {
+	retry := min(maxSnapshotRetry, c.cfg.Timing.Retention()/snapshotRetries)
+	if now.Sub(c.snapshots.writtenAt) < retry {
 		return
 	}
 	expired := c.snapshots.first > 1 && state.SnapshotCovers < c.snapshots.first
--- /dev/null
+++ b/integration/cluster_test.go
@@ -0,0 +1,284 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/resource"
+	"github.com/cassiabridge/cassiabridge/standin"
+)
+
+const operatorToken = "test-operator"
+
+// cluster is a set of VMs between stand-ins.
+type cluster struct {
+	t        *testing.T
+	log      *standin.Log
+	list     *standin.List
+	prefills []*standin.Engine
+	decodes  []*standin.Engine
+	desk     *standin.Desk
+	deskAddr string
+	vms      []*vm
+	docs     []resource.Document
+	settings map[string]any
+}
+
+// vm is one process of the router with its own way to the log and from its peers.
+type vm struct {
+	name      string
+	callers   string
+	operators string
+	peers     string
+	relay     *relay
+	logDown   atomic.Bool
+	config    string
+	cmd       *exec.Cmd
+	output    *os.File
+}
+
+type sizes struct {
+	vms, prefills, decodes int
+	prefill, decode        standin.EngineConfig
+	timing                 map[string]any
+	retention              time.Duration
+	accounts               []resource.Document
+}
+
+// newCluster starts the stand-ins and the VMs and declares accounts, pools, upstreams and routes.
+func newCluster(t *testing.T, s sizes) *cluster {
+	t.Helper()
+	c := &cluster{t: t, log: standin.NewLog(s.retention), list: standin.NewList(0), desk: standin.NewDesk()}
+	c.addEngines(s)
+	listServer := serve(t, c.list.Handler())
+	var listed []standin.ListedVM
+	for n := range s.vms {
+		v := c.newVM(n, listServer, s.timing)
+		c.vms = append(c.vms, v)
+		listed = append(listed, standin.ListedVM{Name: v.name, PeerAddress: v.relay.addr, AvailabilityZone: "zone-a"})
+	}
+	c.list.Set(listed...)
+	time.Sleep(10 * time.Millisecond)
+	for _, v := range c.vms {
+		c.start(v)
+	}
+	for _, v := range c.vms {
+		c.awaitReady(v)
+	}
+	c.eventually(10*time.Second, "all slots are held", func() bool { return c.status(c.vms[0]).slots() == 64 })
+	c.docs = append(c.docs, s.accounts...)
+	for _, doc := range c.docs {
+		c.put(c.vms[0], doc)
+	}
+	c.awaitInForce(c.vms...)
+	return c
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func document(kind resource.Kind, name, spec string) resource.Document {
+	return resource.Document{Kind: kind, Name: name, Spec: json.RawMessage(spec)}
+}
+
+func (c *cluster) addEngines(s sizes) {
+	c.docs = append(c.docs,
+		document(resource.KindClientAccount, "schools", `{"TokensPerSecond": 100000, "BurstTokens": 200000}`),
+		document(resource.KindPool, "prefill", `{"Role": "Prefill", "LinkBytesPerSecond": 1e11}`),
+		document(resource.KindPool, "decode", `{"Role": "Decode"}`),
+		document(resource.KindPool, "desk", `{"Role": "Service"}`))
+	for n := range s.prefills {
+		e := standin.NewEngine(s.prefill)
+		c.prefills = append(c.prefills, e)
+		c.addUpstream(fmt.Sprintf("prefill-%d", n), "prefill", serve(c.t, e.Handler()), s.prefill)
+	}
+	for n := range s.decodes {
+		e := standin.NewEngine(s.decode)
+		c.decodes = append(c.decodes, e)
+		c.addUpstream(fmt.Sprintf("decode-%d", n), "decode", serve(c.t, e.Handler()), s.decode)
+	}
+	c.deskAddr = serve(c.t, c.desk.Handler())
+	c.addUpstream("desk-0", "desk", c.deskAddr, standin.EngineConfig{})
+	c.docs = append(c.docs,
+		document(resource.KindRoute, "notes", `{"Model": "notes", "PrefillPool": "prefill", "DecodePool": "decode"}`),
+		document(resource.KindRoute, "release", `{"Method": "POST", "PathPrefix": "/desk/release", "ServicePool": "desk", "StatusPath": "/desk/release/{Operation}"}`),
+		document(resource.KindRoute, "price", `{"Method": "GET", "PathPrefix": "/desk/price", "ServicePool": "desk", "Repeatable": true}`))
+}
+
+func (c *cluster) addUpstream(name, pool, addr string, cfg standin.EngineConfig) {
+	spec := fmt.Sprintf(`{"Pool": %q, "Address": %q, "Places": %d, "ChecksFencing": %t}`, pool, addr, cfg.WithDefaults().Places, cfg.ChecksFencing)
+	c.docs = append(c.docs, document(resource.KindUpstream, name, spec))
+}
+
+func freeAddr(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (c *cluster) newVM(n int, listServer string, timing map[string]any) *vm {
+	v := &vm{name: fmt.Sprintf("vm-%d", n), callers: freeAddr(c.t), operators: freeAddr(c.t), peers: freeAddr(c.t)}
+	v.relay = newRelay(c.t, v.peers)
+	logHandler := c.log.Handler()
+	logServer := serve(c.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v.logDown.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		logHandler.ServeHTTP(w, r)
+	}))
+	values := map[string]any{
+		"VM": v.name, "AvailabilityZone": "zone-a",
+		"Listen":   map[string]any{"Callers": v.callers, "Operators": v.operators, "Peers": v.peers},
+		"Platform": map[string]any{"Log": "http://" + logServer, "List": "http://" + listServer},
+		"Access": map[string]any{"PeerSecret": "a-secret-for-the-tests",
+			"Operators": []any{map[string]any{"Name": "tester", "TokenHash": resource.HashSecret(operatorToken)}}},
+		"Timing": timing,
+	}
+	if timing == nil {
+		delete(values, "Timing")
+	}
+	data, err := json.Marshal(values)
+	require.NoError(c.t, err)
+	v.config = filepath.Join(c.t.TempDir(), v.name+".json")
+	require.NoError(c.t, os.WriteFile(v.config, data, 0o600))
+	return v
+}
+
+// start runs the process of a VM. Its log is shown when the test fails.
+func (c *cluster) start(v *vm) {
+	output, err := os.CreateTemp(c.t.TempDir(), v.name)
+	require.NoError(c.t, err)
+	v.output = output
+	v.cmd = exec.Command(binary, "serve", v.config)
+	v.cmd.Stderr = output
+	require.NoError(c.t, v.cmd.Start())
+	cmd := v.cmd
+	c.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if c.t.Failed() {
+			c.showLog(v.name, output)
+		}
+	})
+}
+
+func (c *cluster) showLog(name string, output *os.File) {
+	data, _ := os.ReadFile(output.Name())
+	lines := strings.Split(string(data), "\n")
+	c.t.Logf("log of %s:\n%s", name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
+}
+
+func (c *cluster) kill(v *vm) {
+	require.NoError(c.t, v.cmd.Process.Kill())
+	_ = v.cmd.Wait()
+}
+
+func (c *cluster) freeze(v *vm)   { require.NoError(c.t, v.cmd.Process.Signal(syscall.SIGSTOP)) }
+func (c *cluster) unfreeze(v *vm) { require.NoError(c.t, v.cmd.Process.Signal(syscall.SIGCONT)) }
+
+// setLogDown takes the log away from all VMs, or gives it back.
+func (c *cluster) setLogDown(down bool) {
+	for _, v := range c.vms {
+		v.logDown.Store(down)
+	}
+}
+
+func (c *cluster) isReady(v *vm) bool {
+	resp, err := http.Get("http://" + v.operators + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (c *cluster) awaitReady(v *vm) {
+	c.t.Helper()
+	c.eventually(15*time.Second, v.name+" is ready", func() bool { return c.isReady(v) })
+}
+
+func (c *cluster) eventually(limit time.Duration, what string, holds func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, holds, limit, 10*time.Millisecond, what)
+}
+
+// relay forwards connections to a VM's peer port, and can be cut.
+type relay struct {
+	addr   string
+	target string
+	cut    atomic.Bool
+	conns  chan net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	r := &relay{addr: listener.Addr().String(), target: target, conns: make(chan net.Conn, 1000)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.forward(conn)
+		}
+	}()
+	return r
+}
+
+// forward copies bytes both ways. While the relay is cut, bytes are held back as on a broken link.
+func (r *relay) forward(conn net.Conn) {
+	defer conn.Close()
+	for r.cut.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		// A reset is what a caller sees of an address where nothing listens.
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	defer out.Close()
+	done := make(chan struct{}, 2)
+	pump := func(dst, src net.Conn) {
+		defer func() { done <- struct{}{} }()
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(buffer)
+			for r.cut.Load() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if err != nil {
+				return
+			}
+			if _, err := dst.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go pump(out, conn)
+	go pump(conn, out)
+	<-done
+}
--- /dev/null
+++ b/integration/lifecycle_test.go
@@ -0,0 +1,133 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cassiabridge/cassiabridge/standin"
+)
+
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	c := newCluster(t, sizes{vms: 2, prefills: 1, decodes: 1, decode: standin.EngineConfig{TokenGap: 20 * time.Millisecond, Places: 4}})
+	key := c.newKey("k1", "schools")
+	for _, leaving := range []int{0, 1} {
+		t.Run(fmt.Sprintf("vm-%d with queued and streaming requests", leaving), func(t *testing.T) {
+			v := c.vms[leaving]
+			var calls sync.WaitGroup
+			for n := range 12 {
+				calls.Go(func() {
+					prompt := fmt.Sprintf("brief %d", n)
+					text, whole := c.completeStream(v, key, prompt, 40).streamed()
+					assert.True(t, whole, prompt)
+					assert.Equal(t, standin.Output(prompt, 40), text)
+				})
+			}
+			time.Sleep(400 * time.Millisecond)
+			assert.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
+			calls.Wait()
+			assert.NoError(t, v.cmd.Wait(), "exit code 0")
+			assert.Zero(t, c.heldTokens())
+			c.start(v)
+			c.awaitReady(v)
+		})
+	}
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	c := newCluster(t, sizes{vms: 3, prefills: 1, decodes: 2, decode: standin.EngineConfig{TokenGap: 2 * time.Millisecond}})
+	key := c.newKey("k1", "schools")
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	for n := range 6 {
+		load.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					c.complete(c.vms[n%3], key, fmt.Sprint("brief ", n), 10)
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.NotEmpty(t, c.decodes[1].Stats().Seen)
+	c.log.SetFaults(standin.Faults{DelayMillis: 200})
+	for _, doc := range c.docs {
+		if doc.Name == "decode-1" {
+			spec := string(doc.Spec)
+			c.put(c.vms[0], document("Upstream", "decode-1", spec[:len(spec)-1]+`, "Leaving": true}`))
+		}
+	}
+	time.Sleep(inForceBound)
+	before := len(c.decodes[1].Stats().Seen)
+	time.Sleep(time.Second)
+	assert.Len(t, c.decodes[1].Stats().Seen, before)
+	close(stop)
+	load.Wait()
+}
+
+func TestNotRunIsTrue(t *testing.T) {
+	c := newCluster(t, sizes{vms: 1, prefills: 1, decodes: 1, timing: map[string]any{"ServiceMillis": 500, "QueueMillis": 1000}})
+	key := c.newKey("k1", "schools")
+	engineSaw := func() int {
+		return len(c.prefills[0].Stats().Seen) + len(c.decodes[0].Stats().Seen) + len(c.desk.Seen())
+	}
+	scenarios := []struct {
+		name   string
+		faults func(standin.Faults)
+		bad    standin.Faults
+		call   func() answer
+	}{
+		{name: "engine resets after the request was sent", faults: c.prefills[0].SetFaults, bad: standin.Faults{LoseAnswers: true},
+			call: func() answer { return c.complete(c.vms[0], key, "reset", 5) }},
+		{name: "engine refuses", faults: c.prefills[0].SetFaults, bad: standin.Faults{Status: http.StatusServiceUnavailable},
+			call: func() answer { return c.complete(c.vms[0], key, "refused", 5) }},
+		{name: "service resets after the call was sent", faults: c.desk.SetFaults, bad: standin.Faults{LoseAnswers: true},
+			call: func() answer { return c.price(c.vms[0], key) }},
+		{name: "service is slower than the timeout", faults: c.desk.SetFaults, bad: standin.Faults{DelayMillis: 800},
+			call: func() answer { return c.price(c.vms[0], key) }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			s.faults(s.bad)
+			before := engineSaw()
+			a := s.call()
+			time.Sleep(time.Second)
+			s.faults(standin.Faults{})
+			assert.NotEqual(t, http.StatusOK, a.status)
+			if a.refusal().Error.Run == "not_run" {
+				assert.Equal(t, before, engineSaw(), a.body)
+			}
+		})
+	}
+	t.Run("no engine listens", func(t *testing.T) {
+		c.put(c.vms[0], document("Upstream", "prefill-0", `{"Pool": "prefill", "Address": "`+freeAddr(t)+`"}`))
+		a := c.complete(c.vms[0], key, "nobody", 5)
+		assert.NotEqual(t, http.StatusOK, a.status)
+	})
+	t.Run("log down for a call that must not be repeated", func(t *testing.T) {
+		c.setLogDown(true)
+		before := len(c.desk.Seen())
+		a := c.release(c.vms[0], key, "job")
+		assert.Equal(t, "not_run", a.refusal().Error.Run)
+		assert.Len(t, c.desk.Seen(), before)
+		c.setLogDown(false)
+	})
+}
+
+func TestOrdersReachEngines(t *testing.T) {
+	c := newCluster(t, sizes{vms: 3, prefills: 1, decodes: 2, decode: standin.EngineConfig{ChecksFencing: false}})
+	c.put(c.vms[0], document("Order", "o1", `{"Upstream": "decode-0", "Action": "LoadModel", "Value": "notes@1"}`))
+	c.put(c.vms[1], document("Order", "o2", `{"Upstream": "decode-0", "Action": "LoadModel", "Value": "notes@2"}`))
+	c.eventually(5*time.Second, "the newest order is in force", func() bool { return c.decodes[0].Orders()["LoadModel"] == "notes@2" })
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, "notes@2", c.decodes[0].Orders()["LoadModel"])
+	assert.Empty(t, c.decodes[1].Orders())
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -17,6 +17,8 @@
 	Draining    bool
 	// ConfigVersion is the version of the configuration as a whole.
 	ConfigVersion uint64
+	// SnapshotCovers is the first log offset that the last snapshot in the log does not contain.
+	SnapshotCovers uint64
 	// InForceOn lists the VMs known to have the configuration in force; Behind lists the others.
 	InForceOn []string
 	Behind    []string
@@ -29,7 +31,7 @@
 func (s *Server) status(ctx iris.Context) *Error {
 	snapshot, self := s.control.Snapshot(), s.control.Self()
 	answer := statusAnswer{VM: self.VM, Incarnation: self.Incarnation, Ready: snapshot.Ready, Fresh: snapshot.Fresh(s.control.Now()),
-		Draining: snapshot.Draining, ConfigVersion: snapshot.State.ConfigVersion, VMs: s.control.Peers(), Slots: map[string]int{},
+		Draining: snapshot.Draining, ConfigVersion: snapshot.State.ConfigVersion, SnapshotCovers: snapshot.State.SnapshotCovers, VMs: s.control.Peers(), Slots: map[string]int{},
 		InForceOn: []string{}, Behind: []string{}, InDoubt: len(snapshot.State.Operations(catalog.PhaseBegun))}
 	for _, vm := range answer.VMs {
 		if vm.Next > answer.ConfigVersion {
--- a/service/client.go
+++ b/service/client.go
@@ -67,8 +67,12 @@
 // not is sent again only if nothing of it was sent.
 func (c *Client) Do(ctx context.Context, candidates func() []resource.Upstream, call Call) (Answer, error) {
 	avoid := map[string]bool{}
+	var doubt error
 	for {
 		upstream, done, found := c.balancer.Pick(candidates(), avoid)
+		if !found && doubt != nil {
+			return Answer{}, doubt
+		}
 		if !found {
 			return Answer{}, &Error{Op: "pick upstream", Kind: ErrNone, Err: errors.New("no upstream can be used")}
 		}
@@ -80,8 +84,15 @@
 		avoid[upstream.Name] = true
 		var serviceErr *Error
 		unsent := errors.As(err, &serviceErr) && serviceErr.Kind == ErrUnsent
+		if !unsent {
+			doubt = err
+		}
 		again := ctx.Err() == nil && (unsent || call.Operation == "") && c.balancer.MayRetry()
-		if !again {
+		switch {
+		case again:
+		case doubt != nil:
+			return Answer{}, doubt
+		default:
 			return Answer{}, err
 		}
 	}
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Desk takes the place of a plain service: an order desk whose releases must not run twice.
@@ -14,6 +15,7 @@
 	mu   sync.Mutex
 	runs map[string]int
 	seen []string
+	at   []time.Time
 }
 
 // NewDesk returns a desk without releases.
@@ -53,6 +55,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.seen = append(d.seen, fmt.Sprint(r.URL, r.Header))
+	d.at = append(d.at, time.Now())
+}
+
+// Times returns when each request came.
+func (d *Desk) Times() []time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]time.Time{}, d.at...)
 }
 
 func (d *Desk) handleRelease(w http.ResponseWriter, r *http.Request) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -427,3 +427,10 @@
 	e.orders, e.fence = orders, max(e.fence, body.Fence)
 	writeJSON(w, map[string]uint64{"Fence": e.fence})
 }
+
+// Orders returns the orders in force.
+func (e *Engine) Orders() map[string]string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
