--- a/catalog/replay.go
+++ b/catalog/replay.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// maxChunks bounds the parts of one snapshot.
+const maxChunks = maxSnapshotBytes / chunkBytes
+
 // Replay builds a State from the entries that the log still holds.
 //
 // When the log starts at offset 1, entries are applied as they come. When older records have
@@ -92,7 +95,7 @@
 	}
 	chunk := record.Snapshot
 	key := chunkKey{covers: chunk.Covers, writer: chunk.Writer}
-	if chunk.Count < 1 || chunk.Index < 0 || chunk.Index >= chunk.Count {
+	if chunk.Count < 1 || chunk.Count > maxChunks || chunk.Index < 0 || chunk.Index >= chunk.Count {
 		return nil
 	}
 	parts := r.chunks[key]
--- /dev/null
+++ b/catalog/state_test.go
@@ -0,0 +1,318 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cassiabridge/cassiabridge/resource"
+)
+
+var epoch = time.Unix(1_800_000_000, 0).UTC()
+
+func account(name string, rate int) resource.Document {
+	return resource.Document{Kind: resource.KindClientAccount, Name: name, Spec: json.RawMessage(fmt.Sprintf(`{"TokensPerSecond": %d, "BurstTokens": 10}`, rate))}
+}
+
+func keyDocument(name string) resource.Document {
+	return resource.Document{Kind: resource.KindKey, Name: name,
+		Spec: json.RawMessage(fmt.Sprintf(`{"Account": "a", "Hash": %q}`, resource.HashSecret(name)))}
+}
+
+// tape is a log in memory.
+type tape struct {
+	first   uint64
+	entries []Entry
+	now     time.Time
+}
+
+func newTape() *tape { return &tape{first: 1, now: epoch} }
+
+func (l *tape) add(records ...Record) {
+	for _, r := range records {
+		data, _ := r.Encode()
+		l.addRaw(data)
+	}
+}
+
+func (l *tape) addRaw(data []byte) {
+	l.now = l.now.Add(100 * time.Millisecond)
+	l.entries = append(l.entries, Entry{Offset: l.first + uint64(len(l.entries)), At: l.now, Data: data})
+}
+
+func (l *tape) expire(n int) {
+	n = min(n, len(l.entries))
+	l.entries = l.entries[n:]
+	l.first += uint64(n)
+}
+
+func (l *tape) fold(t require.TestingT) State {
+	r := NewReplay(nil)
+	_, err := r.Feed(l.first, l.entries)
+	require.NoError(t, err)
+	state, whole := r.State()
+	require.True(t, whole)
+	return state
+}
+
+func encoded(t require.TestingT, s State) string {
+	data, err := EncodeState(s)
+	require.NoError(t, err)
+	return string(data)
+}
+
+func TestWritesAreConditional(t *testing.T) {
+	scenarios := []struct {
+		name     string
+		record   Record
+		accepted bool
+	}{
+		{name: "create", record: Record{ID: "r", Write: &Write{Document: account("b", 1)}}, accepted: true},
+		{name: "create what exists", record: Record{ID: "r", Write: &Write{Document: account("a", 1)}}},
+		{name: "change the version in force", record: Record{ID: "r", Write: &Write{Document: account("a", 2), Expect: 1}}, accepted: true},
+		{name: "change an old version", record: Record{ID: "r", Write: &Write{Document: account("a", 2), Expect: 9}}},
+		{name: "invalid resource", record: Record{ID: "r", Write: &Write{Document: account("a", 0), Expect: 1}}},
+		{name: "delete", record: Record{ID: "r", Write: &Write{Document: account("a", 1), Expect: 1, Delete: true}}, accepted: true},
+		{name: "delete what does not exist", record: Record{ID: "r", Write: &Write{Document: account("c", 1), Delete: true}}},
+		{name: "withdraw an unknown key", record: Record{ID: "r", Withdraw: &Withdraw{Key: "x"}}},
+		{name: "put back a withdrawn key", record: Record{ID: "r", Write: &Write{Document: keyDocument("k"), Expect: 3}}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			l := newTape()
+			l.add(Record{Write: &Write{Document: account("a", 1)}}, Record{Write: &Write{Document: keyDocument("k")}}, Record{Withdraw: &Withdraw{Key: "k"}}, s.record)
+			verdict, ok := l.fold(t).Verdict("r")
+			assert.True(t, ok)
+			assert.Equal(t, s.accepted, verdict.Accepted, verdict.Reason)
+		})
+	}
+}
+
+func TestOperationsInTheLog(t *testing.T) {
+	begin := func(id string, attempt int) Record {
+		return Record{ID: id, Begin: &Begin{Operation: "op", Attempt: attempt, RequestHash: "h"}}
+	}
+	end := func(id string, attempt int, outcome Outcome, settler string) Record {
+		return Record{ID: id, End: &End{Operation: "op", Attempt: attempt, Outcome: outcome, Settler: settler}}
+	}
+	assertAccepted := func(t *testing.T, s State, id string, want bool) {
+		t.Helper()
+		verdict, ok := s.Verdict(id)
+		assert.True(t, ok, id)
+		assert.Equal(t, want, verdict.Accepted, "%s: %s", id, verdict.Reason)
+	}
+	t.Run("the first of two claims wins", func(t *testing.T) {
+		l := newTape()
+		l.add(begin("b1", 1), begin("b2", 1))
+		assertAccepted(t, l.fold(t), "b1", true)
+		assertAccepted(t, l.fold(t), "b2", false)
+	})
+	t.Run("only one that was not run may run again", func(t *testing.T) {
+		l := newTape()
+		l.add(begin("b1", 1), begin("b2", 2), end("e1", 1, OutcomeNotRun, ""), begin("b3", 2), end("e2", 2, OutcomeDone, ""), begin("b4", 3))
+		s := l.fold(t)
+		assertAccepted(t, s, "b2", false)
+		assertAccepted(t, s, "b3", true)
+		assertAccepted(t, s, "b4", false)
+	})
+	t.Run("nobody else may say not run while the writer may forward", func(t *testing.T) {
+		l := newTape()
+		l.add(begin("b1", 1), end("early", 1, OutcomeNotRun, "operator"))
+		l.now = l.now.Add(settleDelay)
+		l.add(end("late", 1, OutcomeNotRun, "operator"))
+		assertAccepted(t, l.fold(t), "early", false)
+		assertAccepted(t, l.fold(t), "late", true)
+	})
+	t.Run("settled operations are forgotten and those in doubt are not", func(t *testing.T) {
+		l := newTape()
+		l.add(begin("b1", 1), Record{ID: "x", Begin: &Begin{Operation: "doubt", Attempt: 1}}, end("e1", 1, OutcomeDone, ""))
+		l.now = l.now.Add(OperationRetention + time.Hour)
+		l.add(Record{ID: "y", Begin: &Begin{Operation: "new", Attempt: 1}})
+		s := l.fold(t)
+		_, known := s.Operation("op")
+		assert.False(t, known)
+		_, known = s.Operation("doubt")
+		assert.True(t, known)
+	})
+}
+
+func TestReplay(t *testing.T) {
+	filled := func() *tape {
+		l := newTape()
+		for n := range 20 {
+			l.add(Record{ID: fmt.Sprint(n), Write: &Write{Document: account(fmt.Sprint("a", n), 1)}})
+		}
+		return l
+	}
+	snapshot := func(l *tape, s State) {
+		records, err := SnapshotRecords(s, Holder{VM: "vm", Incarnation: "i"})
+		require.NoError(t, err)
+		l.add(records...)
+	}
+	t.Run("a snapshot stands for expired records", func(t *testing.T) {
+		l := filled()
+		snapshot(l, l.fold(t))
+		l.add(Record{ID: "after", Write: &Write{Document: account("after", 1)}})
+		want := l.fold(t).Documents("")
+		l.expire(20)
+		assert.Equal(t, want, l.fold(t).Documents(""))
+	})
+	t.Run("without a snapshot it is not whole", func(t *testing.T) {
+		l := filled()
+		l.expire(5)
+		r := NewReplay(nil)
+		_, err := r.Feed(l.first, l.entries)
+		assert.NoError(t, err)
+		_, whole := r.State()
+		assert.False(t, whole)
+	})
+	t.Run("a snapshot with a missing chunk is not used", func(t *testing.T) {
+		l := filled()
+		records, _ := SnapshotRecords(l.fold(t), Holder{VM: "vm"})
+		records[0].Snapshot.Count = 2
+		l.add(records[0], records[0])
+		l.expire(20)
+		r := NewReplay(nil)
+		_, _ = r.Feed(l.first, l.entries)
+		_, whole := r.State()
+		assert.False(t, whole)
+	})
+	t.Run("an older state is not adopted", func(t *testing.T) {
+		l := filled()
+		older := l.fold(t)
+		l.add(Record{ID: "after", Write: &Write{Document: account("after", 1)}})
+		newer := l.fold(t)
+		r := NewReplay(&newer)
+		assert.False(t, r.Adopt(older))
+		state, _ := r.State()
+		assert.Equal(t, newer.Next, state.Next)
+	})
+	t.Run("records of unknown kinds are kept in snapshots", func(t *testing.T) {
+		l := filled()
+		l.addRaw([]byte(`{"ID": "new", "Future": {"A": 1}}`))
+		state, err := DecodeState([]byte(encoded(t, l.fold(t))))
+		assert.NoError(t, err)
+		assert.Equal(t, 1, state.unknown.Len())
+	})
+	t.Run("a gap is an error", func(t *testing.T) {
+		l := filled()
+		r := NewReplay(nil)
+		_, err := r.Feed(1, l.entries[3:])
+		assert.Error(t, err)
+	})
+}
+
+// model is the oracle of the fold: what each resource and operation must be.
+type model struct {
+	versions map[string]uint64
+	winners  map[string]int
+	mayRun   map[string]bool
+}
+
+func TestFoldAgreesWithOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newTape()
+		m := model{versions: map[string]uint64{}, winners: map[string]int{}, mayRun: map[string]bool{}}
+		state := NewState()
+		for n := range rapid.IntRange(1, 60).Draw(t, "records") {
+			record := drawRecord(t, fmt.Sprint("r", n), m)
+			l.add(record)
+			entry := l.entries[len(l.entries)-1]
+			want := m.expect(record, entry.Offset)
+			next, _, err := state.Apply(entry)
+			require.NoError(t, err)
+			state = next
+			verdict, _ := state.Verdict(record.ID)
+			require.Equal(t, want, verdict.Accepted, "%+v: %s", record, verdict.Reason)
+		}
+		again, _, _ := state.Apply(l.entries[0])
+		require.Equal(t, state.Next, again.Next, "an entry below the state changes nothing")
+		checkRestored(t, l, state)
+	})
+}
+
+// checkRestored folds the log from a snapshot at a random place and compares.
+func checkRestored(t *rapid.T, l *tape, want State) {
+	cut := rapid.IntRange(0, len(l.entries)).Draw(t, "cut")
+	half := NewReplay(nil)
+	_, err := half.Feed(1, l.entries[:cut])
+	require.NoError(t, err)
+	middle, _ := half.State()
+	restored, err := DecodeState([]byte(encoded(t, middle)))
+	require.NoError(t, err)
+	rest := NewReplay(&restored)
+	_, err = rest.Feed(1, l.entries[cut:])
+	require.NoError(t, err)
+	got, _ := rest.State()
+	require.Equal(t, encoded(t, want), encoded(t, got))
+}
+
+func drawRecord(t *rapid.T, id string, m model) Record {
+	name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		expect := rapid.SampledFrom([]uint64{0, m.versions[name], 3}).Draw(t, "expect")
+		return Record{ID: id, Write: &Write{Document: account(name, 1), Expect: expect, Delete: rapid.Bool().Draw(t, "delete")}}
+	case 1:
+		return Record{ID: id, Begin: &Begin{Operation: name, Attempt: rapid.IntRange(1, 3).Draw(t, "attempt")}}
+	case 2:
+		outcome := rapid.SampledFrom([]Outcome{OutcomeDone, OutcomeNotRun}).Draw(t, "outcome")
+		return Record{ID: id, End: &End{Operation: name, Attempt: rapid.IntRange(1, 3).Draw(t, "attempt"), Outcome: outcome}}
+	}
+	return Record{ID: id, Withdraw: &Withdraw{Key: name}}
+}
+
+// expect returns whether a record must take effect, and notes its effect.
+func (m model) expect(r Record, offset uint64) bool {
+	switch {
+	case r.Write != nil:
+		name := r.Write.Document.Name
+		version, exists := m.versions[name]
+		if r.Write.Expect != version || (r.Write.Delete && !exists) {
+			return false
+		}
+		m.versions[name] = offset
+		if r.Write.Delete {
+			delete(m.versions, name)
+		}
+		return true
+	case r.Begin != nil:
+		op := r.Begin.Operation
+		first := m.winners[op] == 0 && r.Begin.Attempt == 1
+		again := m.mayRun[op] && r.Begin.Attempt == m.winners[op]+1
+		if first || again {
+			m.winners[op], m.mayRun[op] = r.Begin.Attempt, false
+			m.versions["begun/"+op] = 1
+		}
+		return first || again
+	case r.End != nil:
+		op := r.End.Operation
+		begun := m.versions["begun/"+op] == 1 && m.winners[op] == r.End.Attempt
+		if begun {
+			delete(m.versions, "begun/"+op)
+			m.mayRun[op] = r.End.Outcome == OutcomeNotRun
+		}
+		return begun
+	}
+	return false
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	good, _ := Record{ID: "r", Write: &Write{Document: account("a", 1)}}.Encode()
+	for _, seed := range [][]byte{good, nil, []byte("{}"), []byte(`{"Move": {"Slots": [-1, 99]}}`), []byte(`{"Snapshot": {"Index": 5}}`), []byte(`[1]`)} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		state, _, err := NewState().Apply(Entry{Offset: 1, At: epoch, Data: data})
+		require.NoError(t, err)
+		require.Equal(t, uint64(2), state.Next)
+		_, err = EncodeState(state)
+		require.NoError(t, err)
+		_, _ = NewReplay(nil).Feed(5, []Entry{{Offset: 5, At: epoch, Data: data}})
+	})
+}
--- a/control/slots.go
+++ b/control/slots.go
@@ -20,11 +20,10 @@
 	holders []catalog.Holder
 	held    []int
 	// giving are slots that this VM has stopped using and is moving away.
-	giving   []int
-	move     *catalog.Record
-	movedAt  time.Time
-	goneAt   map[string]time.Time
-	claiming bool
+	giving  []int
+	move    *catalog.Record
+	movedAt time.Time
+	goneAt  map[string]time.Time
 }
 
 // usable returns how many slots this VM may spend from.
--- a/dispatch/account_queue.go
+++ b/dispatch/account_queue.go
@@ -11,14 +11,20 @@
 	name string
 	// served is the virtual time up to which the account was served, in cost per weight.
 	served float64
-	jobs   []*job
+	// jobs can still meet their deadlines, late cannot. Both are in the order of compareJobs.
+	jobs []*job
+	late []*job
 }
 
-func (q *accountQueue) push(j *job) {
-	at, _ := slices.BinarySearchFunc(q.jobs, j, compareJobs)
-	q.jobs = slices.Insert(q.jobs, at, j)
+func (q *accountQueue) push(j *job) { q.jobs = insert(q.jobs, j) }
+
+func insert(jobs []*job, j *job) []*job {
+	at, _ := slices.BinarySearchFunc(jobs, j, compareJobs)
+	return slices.Insert(jobs, at, j)
 }
 
+func (q *accountQueue) empty() bool { return len(q.jobs)+len(q.late) == 0 }
+
 // compareJobs orders urgent requests first and then by deadline.
 func compareJobs(a, b *job) int {
 	if a.Urgent != b.Urgent {
@@ -31,30 +37,41 @@
 }
 
 func (q *accountQueue) remove(j *job) {
-	if at := slices.Index(q.jobs, j); at >= 0 {
-		q.jobs = slices.Delete(q.jobs, at, at+1)
+	q.jobs = without(q.jobs, j)
+	q.late = without(q.late, j)
+}
+
+func without(jobs []*job, j *job) []*job {
+	if at := slices.Index(jobs, j); at >= 0 {
+		return slices.Delete(jobs, at, at+1)
 	}
+	return jobs
 }
 
-// next returns the first request that can still meet its deadline, and the first that cannot.
+// next returns the first request that can still meet its deadline, and the first that cannot. A
+// request that is found late stays so.
 func (q *accountQueue) next(inTime func(*job) bool) (timely, late *job) {
-	for _, j := range q.jobs {
-		if inTime(j) {
-			return j, late
-		}
-		if late == nil {
-			late = j
-		}
+	for len(q.jobs) > 0 && !inTime(q.jobs[0]) {
+		q.late = insert(q.late, q.jobs[0])
+		q.jobs = q.jobs[1:]
+	}
+	if len(q.late) > 0 {
+		late = q.late[0]
+	}
+	if len(q.jobs) > 0 {
+		timely = q.jobs[0]
 	}
-	return nil, late
+	return timely, late
 }
 
 // expired returns the requests that have waited too long.
 func (q *accountQueue) expired(now time.Time) []*job {
 	var found []*job
-	for _, j := range q.jobs {
-		if now.After(j.GiveUpAt) {
-			found = append(found, j)
+	for _, jobs := range [][]*job{q.jobs, q.late} {
+		for _, j := range jobs {
+			if now.After(j.GiveUpAt) {
+				found = append(found, j)
+			}
 		}
 	}
 	return found
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -123,7 +123,7 @@
 		q = &accountQueue{name: j.Account}
 		d.queues[j.Account] = q
 	}
-	if len(q.jobs) == 0 {
+	if q.empty() {
 		q.served = math.Max(q.served, d.virtual)
 	}
 	j.stage = StageQueued
@@ -455,7 +455,7 @@
 func (d *Dispatcher) accounts() []string {
 	var names []string
 	for name, q := range d.queues {
-		if len(q.jobs) > 0 {
+		if !q.empty() {
 			names = append(names, name)
 		}
 	}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -27,9 +27,15 @@
 	Engine string
 	// Attempts lists the attempts that hold memory.
 	Attempts []string
-	// CacheAdded and CacheRemoved are prefix hashes, in events numbered from CacheFrom to CacheTo.
-	CacheAdded, CacheRemoved []uint64
-	CacheFrom, CacheTo       uint64
+	// CacheEvents are numbered from CacheFrom on.
+	CacheEvents []CacheEvent
+	CacheFrom   uint64
+}
+
+// CacheEvent says that an engine now caches a prompt prefix, or no longer does.
+type CacheEvent struct {
+	Hash    uint64
+	Removed bool
 }
 
 // health counts failures in a row and keeps a failing engine out of use for a while.
@@ -139,13 +145,18 @@
 	if l.CacheFrom > p.cacheAt+1 {
 		clear(p.cached)
 	}
-	for _, hash := range l.CacheAdded {
-		p.cached[hash] = true
-	}
-	for _, hash := range l.CacheRemoved {
-		delete(p.cached, hash)
+	for i, event := range l.CacheEvents {
+		number := l.CacheFrom + uint64(i)
+		if number <= p.cacheAt {
+			continue
+		}
+		p.cacheAt = number
+		if event.Removed {
+			delete(p.cached, event.Hash)
+		} else {
+			p.cached[event.Hash] = true
+		}
 	}
-	p.cacheAt = max(p.cacheAt, l.CacheTo)
 }
 
 // decodeEngine keeps which places of one decode engine are taken.
--- a/engine/report.go
+++ b/engine/report.go
@@ -19,14 +19,20 @@
 type reportAnswer struct {
 	Attempts  []string
 	HeldBytes int64
-	Cache     cacheEvents
+	Cache     cacheLog
 	Orders    map[string]string
 	Fence     uint64
 }
 
-type cacheEvents struct {
-	From, To       uint64
-	Added, Removed []uint64
+// cacheLog holds the newest cache events, of which the first has the number From.
+type cacheLog struct {
+	From   uint64
+	Events []cacheEvent
+}
+
+type cacheEvent struct {
+	Hash    uint64
+	Removed bool
 }
 
 // Report reads the load of an engine.
@@ -35,7 +41,9 @@
 	if err := c.call(ctx, "report", "http://"+addr+"/report", nil, &a); err != nil {
 		return Report{}, err
 	}
-	load := dispatch.Load{Engine: name, Attempts: a.Attempts, CacheAdded: a.Cache.Added, CacheRemoved: a.Cache.Removed,
-		CacheFrom: a.Cache.From, CacheTo: a.Cache.To}
+	load := dispatch.Load{Engine: name, Attempts: a.Attempts, CacheFrom: a.Cache.From}
+	for _, event := range a.Cache.Events {
+		load.CacheEvents = append(load.CacheEvents, dispatch.CacheEvent(event))
+	}
 	return Report{Load: load, HeldBytes: a.HeldBytes, Orders: a.Orders, Fence: a.Fence}, nil
 }
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -34,7 +34,6 @@
 	deskAddr string
 	vms      []*vm
 	docs     []resource.Document
-	settings map[string]any
 }
 
 // vm is one process of the router with its own way to the log and from its peers.
--- a/peer/error.go
+++ b/peer/error.go
@@ -1,3 +1,5 @@
+// Package peer carries messages between the VMs of the system, over JSON-RPC 2.0 connections whose both
+// ends have proved that they know the shared secret.
 package peer
 
 import "fmt"
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -25,6 +26,8 @@
 	Retain time.Duration
 	// LinkRate is in prompt tokens' KV a second.
 	LinkRate float64
+	// CachePieces is how many pieces of prompts are cached.
+	CachePieces int
 	// ReportLag is the age of reports.
 	ReportLag     time.Duration
 	ChecksFencing bool
@@ -44,6 +47,9 @@
 	if c.Retain == 0 {
 		c.Retain = 700 * time.Millisecond
 	}
+	if c.CachePieces == 0 {
+		c.CachePieces = 256
+	}
 	if c.LinkRate == 0 {
 		c.LinkRate = 1e6
 	}
@@ -68,8 +74,7 @@
 	wasted   int
 	orders   map[string]string
 	fence    uint64
-	cacheSeq uint64
-	cacheNew []uint64
+	cache    prefixCache
 }
 
 type attempt struct {
@@ -90,7 +95,7 @@
 // NewEngine returns an idle engine.
 func NewEngine(cfg EngineConfig) *Engine {
 	cfg = cfg.WithDefaults()
-	return &Engine{cfg: cfg, attempts: map[string]*attempt{}, places: make(chan struct{}, cfg.Places), orders: map[string]string{}}
+	return &Engine{cfg: cfg, cache: newPrefixCache(cfg.CachePieces), attempts: map[string]*attempt{}, places: make(chan struct{}, cfg.Places), orders: map[string]string{}}
 }
 
 // Tokens returns how many tokens a text has.
@@ -197,7 +202,8 @@
 	tokens := Tokens(body.Prompt) + Tokens(body.Generated)
 	a := e.add(body.Attempt, tokens, true, r)
 	e.compute.Lock()
-	kept := a.sleep(time.Duration(float64(tokens) / e.cfg.PrefillRate * float64(time.Second)))
+	cached := e.cache.take(body.Prompt)
+	kept := a.sleep(time.Duration(float64(tokens-cached) / e.cfg.PrefillRate * float64(time.Second)))
 	e.compute.Unlock()
 	e.mu.Lock()
 	e.prefills++
@@ -209,7 +215,7 @@
 		return
 	}
 	go e.evict(a)
-	writeJSON(w, map[string]any{"Attempt": a.id, "PromptTokens": tokens, "CachedTokens": 0})
+	writeJSON(w, map[string]any{"Attempt": a.id, "PromptTokens": tokens, "CachedTokens": cached})
 }
 
 func (e *Engine) evict(a *attempt) {
@@ -346,8 +352,7 @@
 }
 
 func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
-	var from int
-	fmt.Sscan(r.FormValue("From"), &from)
+	from, _ := strconv.Atoi(r.FormValue("From"))
 	e.mu.Lock()
 	a := e.attempts[r.FormValue("Attempt")]
 	e.mu.Unlock()
@@ -379,21 +384,18 @@
 type reportBody struct {
 	Attempts  []string
 	HeldBytes int64
-	Cache     struct {
-		From, To       uint64
-		Added, Removed []uint64
-	}
-	Orders map[string]string
-	Fence  uint64
+	Cache     cacheLog
+	Orders    map[string]string
+	Fence     uint64
 }
 
 // handleReport answers with a report that is up to ReportLag old.
 func (e *Engine) handleReport(w http.ResponseWriter, _ *http.Request) {
-	frozen := e.Faults().FreezeReports
+	faults := e.Faults()
 	e.mu.Lock()
-	if !frozen && time.Since(e.reported) >= e.cfg.ReportLag {
+	if !faults.FreezeReports && time.Since(e.reported) >= e.cfg.ReportLag {
 		e.reported = time.Now()
-		e.report = reportBody{Orders: e.orders, Fence: e.fence}
+		e.report = reportBody{Orders: e.orders, Fence: e.fence, Cache: e.cache.log(faults.DropCacheEvents)}
 		for id, a := range e.attempts {
 			e.report.Attempts = append(e.report.Attempts, id)
 			e.report.HeldBytes += int64(a.tokens)
