Learn the speed of decode engines while requests run

Cause: an engine that had become slow was noticed only when its requests ended, 20 s later at a fifth of its speed, and was given new ones until then. Ruled out: a shorter learning time; the samples were missing, not slow to count. Change: VMs add the mean time between tokens so far to the periodic list of their requests, and the dispatcher learns from it. Also: tests of VMs take ports below the range of outgoing connections; one run had failed because such a connection held the port. The JSON-RPC library no longer writes to the standard logger.

--- a/caller/generation.go
+++ b/caller/generation.go
@@ -30,6 +30,7 @@
 	call   completion
 	answer *answerWriter
 	id     string
+	job    *control.Job
 
 	try          int
 	avoid        []string
@@ -75,6 +76,7 @@
 		if !ok {
 			return g.refusal(errors.New("the route has no engines"))
 		}
+		g.job = job
 		failed := g.runTry(job)
 		if failed == nil {
 			return nil
@@ -267,6 +269,9 @@
 	g.lastTokenAt = now
 	g.tokens++
 	g.generated.WriteString(token.Text)
+	if g.tokens > 1 {
+		g.job.SetGap(g.meanGap())
+	}
 	if err := g.answer.token(token.Text); err != nil {
 		return callerGone(err)
 	}
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiabridge/cassiabridge/dispatch"
@@ -12,6 +13,7 @@
 	controller *Controller
 	lane       *lane
 	decisions  chan dispatch.Decision
+	gap        atomic.Int64
 
 	// The fields below belong to the control goroutine.
 	request dispatch.Request
@@ -48,9 +50,12 @@
 }
 
 func (j *Job) describe() peer.Job {
-	return peer.Job{Request: j.request, Stage: j.stage, Prefill: j.prefill, Decode: j.decode}
+	return peer.Job{Request: j.request, Stage: j.stage, Prefill: j.prefill, Decode: j.decode, Gap: time.Duration(j.gap.Load())}
 }
 
+// SetGap notes the mean time between tokens so far, which the dispatcher learns from.
+func (j *Job) SetGap(gap time.Duration) { j.gap.Store(int64(gap)) }
+
 // Decisions returns the channel on which the dispatcher says what to do next.
 func (j *Job) Decisions() <-chan dispatch.Decision { return j.decisions }
 
--- a/control/lanes.go
+++ b/control/lanes.go
@@ -183,6 +183,7 @@
 	known := map[string]bool{}
 	for _, j := range u.Jobs {
 		known[j.Request.ID] = true
+		l.dispatcher.Progress(j.Request.ID, j.Gap.Seconds())
 		decision, refused := l.dispatcher.Reconcile(now, j.Request, j.Stage, j.Prefill, j.Decode, u.Whole)
 		if decision != nil {
 			decisions = append(decisions, *decision)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -243,6 +243,18 @@
 	d.drop(now, j)
 }
 
+// Progress notes the time between tokens of a request that still runs, so that an engine that has become
+// slow is avoided before its requests have ended.
+func (d *Dispatcher) Progress(id string, gapSeconds float64) {
+	j := d.jobs[id]
+	if j == nil || j.stage != StageDecode {
+		return
+	}
+	if e := d.decodes[j.decode]; e != nil {
+		e.learnGap(gapSeconds)
+	}
+}
+
 // Failed notes that an engine did not do what it was asked.
 func (d *Dispatcher) Failed(now time.Time, engine string) {
 	if p := d.prefills[engine]; p != nil {
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -128,11 +128,27 @@
 	c.docs = append(c.docs, document(resource.KindUpstream, name, spec))
 }
 
+// nextPort lies below the ports that the kernel gives to outgoing connections, so that nothing else
+// takes a port between its choice and its use.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freeAddr returns a loopback address on which nothing listens.
 func freeAddr(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1))%(lastPort-firstPort))
+		listener, err := net.Listen("tcp", addr)
+		if err == nil {
+			listener.Close()
+			return addr
+		}
+	}
+	require.Fail(t, "no port is free")
+	return ""
 }
 
 func (c *cluster) newVM(n int, listServer string, timing map[string]any) *vm {
--- a/peer/inbox.go
+++ b/peer/inbox.go
@@ -51,6 +51,8 @@
 	Stage   dispatch.Stage
 	Prefill string
 	Decode  string
+	// Gap is the mean time between tokens so far, or 0.
+	Gap time.Duration
 }
 
 // FinishedJob is a request that needs nothing any more.
--- a/peer/link.go
+++ b/peer/link.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, &Error{Op: "dial " + l.vm, Kind: kindOfDial(err), Err: err}
 	}
-	conn := jsonrpc2.NewConn(context.Background(), newStream(raw), noHandler{})
+	conn := jsonrpc2.NewConn(context.Background(), newStream(raw), noHandler{}, quiet())
 	if err := l.greet(ctx, conn); err != nil {
 		conn.Close()
 		return nil, err
--- a/peer/server.go
+++ b/peer/server.go
@@ -48,7 +48,7 @@
 			return
 		}
 		session := &session{server: s, nonce: newNonce()}
-		rpc := jsonrpc2.NewConn(context.Background(), newStream(conn), session)
+		rpc := jsonrpc2.NewConn(context.Background(), newStream(conn), session, quiet())
 		if !s.track(rpc) {
 			rpc.Close()
 			return
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"io"
+	"log"
 	"net"
 	"time"
 
@@ -21,6 +23,9 @@
 	return c.Conn.Write(p)
 }
 
+// quiet keeps the library from writing to the standard logger; broken connections show as errors.
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) }
+
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(deadlineConn{conn}, jsonrpc2.VSCodeObjectCodec{})
 }
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -78,6 +78,7 @@
 	Stage        dispatch.Stage `json:",omitempty"`
 	Prefill      string         `json:",omitempty"`
 	Decode       string         `json:",omitempty"`
+	GapMicros    int64          `json:",omitempty"`
 }
 
 type jobsMessage struct {
@@ -96,7 +97,7 @@
 			ID: r.ID, Account: r.Account, Weight: r.Weight, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
 			Prefix: r.Prefix, AgeMicros: now.Sub(r.ArrivedAt).Microseconds(), DueMicros: r.FirstTokenBy.Sub(now).Microseconds(),
 			GiveUpMicros: r.GiveUpAt.Sub(now).Microseconds(), Urgent: r.Urgent, Avoid: r.Avoid,
-			Stage: j.Stage, Prefill: j.Prefill, Decode: j.Decode,
+			Stage: j.Stage, Prefill: j.Prefill, Decode: j.Decode, GapMicros: j.Gap.Microseconds(),
 		})
 	}
 	return m
@@ -105,7 +106,7 @@
 func (m jobsMessage) decode(now time.Time, from Identity) JobUpdate {
 	u := JobUpdate{Lane: m.Lane, Prefilled: m.Prefilled, Finished: m.Finished, Whole: m.Whole}
 	for _, j := range m.Jobs {
-		u.Jobs = append(u.Jobs, Job{Stage: j.Stage, Prefill: j.Prefill, Decode: j.Decode, Request: dispatch.Request{
+		u.Jobs = append(u.Jobs, Job{Stage: j.Stage, Prefill: j.Prefill, Decode: j.Decode, Gap: micros(j.GapMicros), Request: dispatch.Request{
 			ID: j.ID, VM: from.VM, Incarnation: from.Incarnation, Account: j.Account, Weight: j.Weight,
 			PromptTokens: j.PromptTokens, OutputTokens: j.OutputTokens, Prefix: j.Prefix,
 			ArrivedAt: now.Add(-micros(j.AgeMicros)), FirstTokenBy: now.Add(micros(j.DueMicros)), GiveUpAt: now.Add(micros(j.GiveUpMicros)),
--- a/trial/engines.go
+++ b/trial/engines.go
@@ -21,7 +21,6 @@
 	running int
 	waiting []*call
 	dead    bool
-	assign  int
 }
 
 func (d *decodeModel) capacity() float64 {
--- a/trial/plan.go
+++ b/trial/plan.go
@@ -71,6 +71,8 @@
 	faultAt       = 50 * time.Second
 	floodFactor   = 5.0
 	slowFactor    = 0.2
+	// progressPeriod is how often a VM tells how fast its running requests go.
+	progressPeriod = 500 * time.Millisecond
 )
 
 // accountShares is how the load is spread over the client accounts.
--- a/trial/policy.go
+++ b/trial/policy.go
@@ -31,6 +31,7 @@
 	evicted   func(c *call)
 	failed    func(c *call, engine string)
 	finished  func(c *call, gap time.Duration)
+	progress  func(c *call, gap time.Duration)
 	zoneCut   func(zone int)
 }
 
@@ -68,7 +69,7 @@
 		start: func() {}, submit: b.submit, prefilled: b.prefilled, evicted: b.submit,
 		failed:   func(c *call, _ string) { b.submit(c) },
 		finished: func(c *call, _ time.Duration) { b.decodes[c.vm][c.decode]-- },
-		zoneCut:  func(int) {},
+		progress: func(*call, time.Duration) {}, zoneCut: func(int) {},
 	}
 }
 
@@ -165,7 +166,7 @@
 }
 
 func (r *router) policy() policy {
-	return policy{start: r.tick, submit: r.submit, prefilled: r.prefilled, evicted: r.again, failed: r.failed, finished: r.finished, zoneCut: r.zoneCut}
+	return policy{start: r.tick, submit: r.submit, prefilled: r.prefilled, evicted: r.again, failed: r.failed, finished: r.finished, progress: r.progress, zoneCut: r.zoneCut}
 }
 
 func (r *router) time() time.Time { return simEpoch.Add(r.sim.now) }
@@ -230,6 +231,12 @@
 	r.tell(func() { r.core.Finish(r.time(), id, dispatch.Result{GapSeconds: gap.Seconds()}) })
 }
 
+// progress is sent once for all requests of a VM, so it is not counted as a message for each.
+func (r *router) progress(c *call, gap time.Duration) {
+	id := c.grantedKey()
+	r.sim.after(r.sim.plan.User.Hop, func() { r.core.Progress(id, gap.Seconds()) })
+}
+
 func (r *router) again(c *call) { r.retry(c, "") }
 
 func (r *router) failed(c *call, engine string) { r.retry(c, engine) }
--- a/trial/result.go
+++ b/trial/result.go
@@ -66,7 +66,7 @@
 		r.Worst = min(r.Worst, counts[1]/counts[0])
 	}
 	r.Goodput, r.Refused, r.Lost = good/offered, refused/offered, lost/offered
-	r.Bound = math.Min(1, s.capacity()*(arrivalsEnd-warmUp).Seconds()/offered)
+	r.Bound = s.bound()
 	if s.prefillTokens > 0 {
 		r.Wasted = s.wastedTokens / s.prefillTokens
 	}
@@ -75,6 +75,23 @@
 	return r
 }
 
+// bound returns which part of the offered requests the engines that are fast enough could serve, before
+// and after the fault.
+func (s *simulation) bound() float64 {
+	var before, after float64
+	for _, c := range s.calls {
+		switch {
+		case c.arrived < warmUp || c.uncount:
+		case c.arrived < faultAt:
+			before++
+		default:
+			after++
+		}
+	}
+	served := math.Min(before, s.capacityBefore*(faultAt-warmUp).Seconds()) + math.Min(after, s.capacity()*(arrivalsEnd-faultAt).Seconds())
+	return served / (before + after)
+}
+
 func mean(results []Result) Result {
 	m := results[0]
 	n := float64(len(results))
--- a/trial/simulation.go
+++ b/trial/simulation.go
@@ -51,8 +51,9 @@
 	deadZone int
 	messages int
 
-	prefillTokens float64
-	wastedTokens  float64
+	prefillTokens  float64
+	wastedTokens   float64
+	capacityBefore float64
 }
 
 func newSimulation(plan Plan) *simulation {
@@ -63,6 +64,7 @@
 	for i, speed := range engineSpeeds(plan.User.Decodes, s.rng) {
 		s.decodes = append(s.decodes, &decodeModel{name: fmt.Sprintf("decode-%d", i), zone: i % 4, gap: seconds(baseGap / speed)})
 	}
+	s.capacityBefore = s.capacity()
 	s.policy = plan.Policy.build(s)
 	return s
 }
@@ -87,16 +89,19 @@
 	s.after(s.plan.User.Hop, run)
 }
 
+// capacity returns the requests a second that the engines within the latency target can serve.
 func (s *simulation) capacity() float64 {
 	total := 0.0
 	for _, d := range s.decodes {
-		total += d.capacity()
+		if !d.dead && d.gap <= tokenGap {
+			total += d.capacity()
+		}
 	}
 	return total
 }
 
 func (s *simulation) run() {
-	rate := s.plan.Load * s.capacity()
+	rate := s.plan.Load * s.capacityBefore
 	for account, share := range accountShares {
 		s.scheduleArrival(account, rate*share)
 	}
@@ -122,7 +127,7 @@
 		}
 		base := rate
 		if s.plan.Fault == FaultFlood && account == flooder {
-			base = s.plan.Load * s.capacity() * accountShares[account]
+			base = s.plan.Load * s.capacityBefore * accountShares[account]
 		}
 		s.arrive(account)
 		s.scheduleArrival(account, base)
@@ -221,6 +226,7 @@
 	if c.first == 0 {
 		c.first = c.began + gap
 	}
+	s.watchProgress(c, try)
 	if gap > tokenGap {
 		c.slow = true
 	}
@@ -235,6 +241,16 @@
 	})
 }
 
+// watchProgress reports the time between tokens of a running call.
+func (s *simulation) watchProgress(c *call, try int) {
+	s.after(progressPeriod, func() {
+		if c.try == try && c.stage == stageDecode {
+			s.policy.progress(c, c.decode.gap)
+			s.watchProgress(c, try)
+		}
+	})
+}
+
 // scheduleFault makes the fault of the plan happen.
 func (s *simulation) scheduleFault() {
 	s.after(faultAt, func() {
