Keep slow decode engines for late requests

Cause: requests that could be in time were placed on an engine that cannot meet the target for the time between tokens, for want of another place, and were lost to goodput for certain. Change: each started request has a reach, and places are predicted within it.

--- a/dispatch/account_queue.go
+++ b/dispatch/account_queue.go
@@ -52,6 +52,7 @@
 // request that is found late stays so.
 func (q *accountQueue) next(inTime func(*job) bool) (timely, late *job) {
 	for len(q.jobs) > 0 && !inTime(q.jobs[0]) {
+		q.jobs[0].late = true
 		q.late = insert(q.late, q.jobs[0])
 		q.jobs = q.jobs[1:]
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -17,6 +17,8 @@
 const (
 	// decodeTokenCost is the cost of one output token in prompt tokens, for fair queueing.
 	decodeTokenCost = 8.0
+	// evictionMargin is how long before its eviction a result takes any place there is.
+	evictionMargin = 150 * time.Millisecond
 	// timelyMargin is how far before its deadline a request must be expected to have its first token.
 	timelyMargin = 30 * time.Millisecond
 	// prefillPipeline is how much work a prefill engine may have ahead of a new request.
@@ -356,17 +358,18 @@
 func (d *Dispatcher) assignPlaces(now time.Time) []Decision {
 	var decisions []Decision
 	slices.SortStableFunc(d.waiting, func(a, b *job) int { return a.evictedAt.Compare(b.evictedAt) })
-	for len(d.waiting) > 0 {
-		j := d.waiting[0]
+	var blocked []*job
+	for _, j := range d.waiting {
 		e := d.bestDecode(now, j)
 		if e == nil {
-			return decisions
+			blocked = append(blocked, j)
+			continue
 		}
-		d.waiting = d.waiting[1:]
 		j.stage, j.decode, j.startedAt = StageDecode, e.Name, now
 		e.running[j.ID] = j
 		decisions = append(decisions, Decision{ID: j.ID, VM: j.VM, Kind: DecideDecode, Engine: e.Name, Addr: e.Addr})
 	}
+	d.waiting = blocked
 	return decisions
 }
 
@@ -374,7 +377,8 @@
 func (d *Dispatcher) bestDecode(now time.Time, j *job) *decodeEngine {
 	var best *decodeEngine
 	for _, e := range d.decodes {
-		if e.free() <= 0 || !e.usable(now) || slices.Contains(j.Avoid, e.Name) {
+		outside := !d.reaches(j.reach, e) && now.Before(j.evictedAt.Add(-evictionMargin))
+		if e.free() <= 0 || !e.usable(now) || outside || slices.Contains(j.Avoid, e.Name) {
 			continue
 		}
 		if best == nil || d.prefers(e, best) {
@@ -398,18 +402,24 @@
 	return d.lane.TokenGap == 0 || e.gap <= d.lane.TokenGap.Seconds()
 }
 
-// placesBy predicts how many places are free at the end of a wait, of which none is promised.
-func (d *Dispatcher) placesBy(now time.Time, wait time.Duration) float64 {
+// placesBy predicts how many places within a reach that nobody was promised are free at the end of a
+// wait.
+func (d *Dispatcher) placesBy(now time.Time, wait time.Duration, within reach) float64 {
 	free, running := 0, 0
 	for _, e := range d.decodes {
-		if e.usable(now) {
+		if e.usable(now) && d.reaches(within, e) {
 			free += max(0, e.free())
 			running += len(e.running)
 		}
 	}
-	promised := len(d.waiting)
+	promised := 0
+	for _, j := range d.waiting {
+		promised += d.promise(j, within)
+	}
 	for _, p := range d.prefills {
-		promised += len(p.jobs)
+		for _, j := range p.jobs {
+			promised += d.promise(j, within)
+		}
 	}
 	expected := 0.0
 	if !d.reserve {
@@ -419,9 +429,50 @@
 	return float64(free-promised) + expected
 }
 
+// promise returns how many of the places within a reach a started request takes.
+func (d *Dispatcher) promise(j *job, within reach) int {
+	if j.reach.overlaps(within) {
+		return 1
+	}
+	return 0
+}
+
+// reaches reports whether an engine lies within a reach. When no engine meets the target for the time
+// between tokens, all count as fast.
+func (d *Dispatcher) reaches(within reach, e *decodeEngine) bool {
+	fast := d.meetsGap(e) || !d.anyFast()
+	switch within {
+	case reachFast:
+		return fast
+	case reachSlow:
+		return !fast
+	}
+	return true
+}
+
+func (d *Dispatcher) anyFast() bool {
+	for _, e := range d.decodes {
+		if d.meetsGap(e) {
+			return true
+		}
+	}
+	return false
+}
+
 // grantPrefill starts the next prefill if its result will find a place before it is evicted.
 func (d *Dispatcher) grantPrefill(now time.Time) (Decision, bool) {
-	j := d.pick(now)
+	timely, late := d.pick(now)
+	if decision, ok := d.start(now, timely, reachFast); ok {
+		return decision, true
+	}
+	if timely != nil {
+		return d.start(now, late, reachSlow)
+	}
+	return d.start(now, late, reachAll)
+}
+
+// start grants the prefill of a request if a prefill engine and a place can be foreseen for it.
+func (d *Dispatcher) start(now time.Time, j *job, within reach) (Decision, bool) {
 	if j == nil {
 		return Decision{}, false
 	}
@@ -430,7 +481,7 @@
 		return Decision{}, false
 	}
 	slack := time.Duration(retainShare * float64(d.lane.Retain))
-	if d.placesBy(now, due.Sub(now)+slack) < 1 {
+	if d.placesBy(now, due.Sub(now)+slack, within) < 1 {
 		return Decision{}, false
 	}
 	q := d.queues[j.Account]
@@ -438,15 +489,15 @@
 	d.queued--
 	d.virtual = math.Max(d.virtual, q.served)
 	q.served += j.cost() / j.Weight
-	j.stage, j.prefill, j.grantedAt = StagePrefill, p.Name, now
+	j.stage, j.prefill, j.grantedAt, j.reach = StagePrefill, p.Name, now, within
 	p.start(now, j)
 	return Decision{ID: j.ID, VM: j.VM, Kind: DecidePrefill, Engine: p.Name, Addr: p.Addr}, true
 }
 
-// pick returns the request to serve next: the least served account's first request that can still be
-// in time, urgent requests of any account before others; late requests only when no other waits.
-func (d *Dispatcher) pick(now time.Time) *job {
-	var timely, late *job
+// pick returns the request to serve next, the least served account's first request that can still be
+// in time, urgent requests of any account before others; and the late request to serve if that one
+// cannot be.
+func (d *Dispatcher) pick(now time.Time) (timely, late *job) {
 	inTime := func(j *job) bool { return d.inTime(now, j) }
 	for _, name := range d.accounts() {
 		t, l := d.queues[name].next(inTime)
@@ -457,10 +508,7 @@
 			late = l
 		}
 	}
-	if timely != nil {
-		return timely
-	}
-	return late
+	return timely, late
 }
 
 // accounts returns the accounts with waiting requests, the least served first.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -59,9 +59,27 @@
 	Addr   string
 }
 
+// reach says which decode engines a request may be given.
+type reach int
+
+const (
+	// reachFast is for requests in time: engines that meet the target for the time between tokens.
+	reachFast reach = iota
+	// reachSlow is for late requests while others can be in time: the engines those cannot use.
+	reachSlow
+	// reachAll is for late requests when no other waits.
+	reachAll
+)
+
+func (r reach) overlaps(other reach) bool { return r == other || r == reachAll || other == reachAll }
+
 type job struct {
 	Request
-	stage   Stage
+	stage Stage
+	// late says that the first token cannot be in time any more.
+	late bool
+	// reach is which decode engines the request may be given.
+	reach   reach
 	prefill string
 	decode  string
 	// grantedAt is when the prefill was granted; dueAt is when its result is expected.
