Place a kept prefill result elsewhere when its decode engine is gone

Cause: after an engine had been killed, its breaker let three requests through every two seconds; each lost its prefill result with the decode engine and computed it again. Ruled out: a longer breaker; it would also keep a recovered engine out. Change: a request that a decode engine did not take keeps its prefill result and asks for another place, and an engine whose reports cannot be read is out of use until the next report. A prefill counts as wasted when nothing was decoded from it. Conclusion: kept; an integration test counts the prefills.

--- a/caller/generation.go
+++ b/caller/generation.go
@@ -66,7 +66,9 @@
 type failure struct {
 	engine string
 	again  bool
-	err    error
+	// resultKept says that the prefill result can still be placed elsewhere.
+	resultKept bool
+	err        error
 }
 
 // run generates the whole answer, on other engines if some fail.
@@ -162,19 +164,24 @@
 		return failed
 	}
 	job.Prefilled()
-	place, failed := g.await(job, dispatch.DecideDecode)
-	if failed != nil {
-		g.wastePrefill()
-		g.server.cancels.Cancel(granted.Addr, name+"p")
-		return failed
-	}
-	failed = g.decode(place, granted, name)
-	if failed != nil {
-		result.Failed = failed.engine
-		return failed
+	for {
+		place, failed := g.await(job, dispatch.DecideDecode)
+		if failed != nil {
+			g.wastePrefill()
+			g.server.cancels.Cancel(granted.Addr, name+"p")
+			return failed
+		}
+		failed = g.decode(place, granted, name)
+		switch {
+		case failed == nil:
+			result.GapSeconds = g.meanGap().Seconds()
+			return nil
+		case !failed.resultKept:
+			result.Failed = failed.engine
+			return failed
+		}
+		job.Misplaced(failed.engine)
 	}
-	result.GapSeconds = g.meanGap().Seconds()
-	return nil
 }
 
 // await waits for a decision of the dispatcher.
@@ -241,12 +248,13 @@
 	if err == nil {
 		return g.end(string(reason))
 	}
+	if kindOfEngine(err) == engine.ErrUnsent && g.r.Context().Err() == nil {
+		return &failure{engine: place.Engine, resultKept: true, err: err}
+	}
 	g.server.cancels.Cancel(place.Addr, attempt)
 	g.server.cancels.Cancel(source.Addr, name+"p")
-	if kindOfEngine(err) == engine.ErrEvicted || kindOfEngine(err) == engine.ErrUnsent {
-		g.wastePrefill()
-	}
 	if kindOfEngine(err) == engine.ErrEvicted {
+		g.wastePrefill()
 		return &failure{again: true, err: err}
 	}
 	var callerErr *Error
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -71,6 +71,19 @@
 	})
 }
 
+// Misplaced says that the decode engine did not take the request, which wants another place while its
+// prefill result is kept.
+func (j *Job) Misplaced(engine string) {
+	c := j.controller
+	c.post(func() {
+		if j.lane.jobs[j.request.ID] != j || j.stage != dispatch.StageDecode {
+			return
+		}
+		j.stage, j.decode = dispatch.StagePrefilled, ""
+		c.sendJobs(j.lane, peer.JobUpdate{Lane: j.lane.name, Misplaced: []peer.MisplacedJob{{ID: j.request.ID, Engine: engine}}})
+	})
+}
+
 // Finish says that the request needs nothing any more.
 func (j *Job) Finish(result dispatch.Result) {
 	c := j.controller
--- a/control/lanes.go
+++ b/control/lanes.go
@@ -174,6 +174,9 @@
 	for _, j := range u.Finished {
 		l.dispatcher.Finish(now, j.ID, j.Result)
 	}
+	for _, j := range u.Misplaced {
+		l.dispatcher.Misplaced(now, j.ID, j.Engine)
+	}
 	for _, id := range u.Prefilled {
 		if err := l.dispatcher.Prefilled(now, id); err != nil {
 			c.log.Debug("prefilled-unknown", zap.Error(err))
--- a/control/reports.go
+++ b/control/reports.go
@@ -41,9 +41,14 @@
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		report, err := c.engines.Report(callCtx, addr, name)
 		cancel()
-		if err == nil {
-			c.post(func() { c.takeReport(l, addr, report.Load, orphans) })
-		}
+		c.post(func() {
+			switch {
+			case err == nil:
+				c.takeReport(l, addr, report.Load, orphans)
+			case l.dispatcher != nil && ctx.Err() == nil:
+				l.dispatcher.Unreachable(name)
+			}
+		})
 		sleep(ctx, c.cfg.Timing.Report())
 	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -313,13 +313,41 @@
 // Observe takes an engine's report.
 func (d *Dispatcher) Observe(now time.Time, l Load) {
 	if p := d.prefills[l.Engine]; p != nil {
+		p.unreachable = false
 		p.observeCache(l)
 	}
 	if e := d.decodes[l.Engine]; e != nil {
+		e.unreachable = false
 		e.observe(now, l, RequestOf)
 	}
 }
 
+// Unreachable takes an engine out of use until its next report.
+func (d *Dispatcher) Unreachable(engine string) {
+	if p := d.prefills[engine]; p != nil {
+		p.unreachable = true
+	}
+	if e := d.decodes[engine]; e != nil {
+		e.unreachable = true
+	}
+}
+
+// Misplaced notes that a decode engine did not take a request. Its prefill result is still kept, so it
+// wants another place.
+func (d *Dispatcher) Misplaced(now time.Time, id, engine string) {
+	j := d.jobs[id]
+	if j == nil || j.stage != StageDecode || j.decode != engine {
+		return
+	}
+	if e := d.decodes[engine]; e != nil {
+		e.failed(now)
+		e.release(now, id)
+	}
+	j.Avoid = append(slices.Clone(j.Avoid), engine)
+	j.stage, j.decode = StagePrefilled, ""
+	d.waiting = append(d.waiting, j)
+}
+
 // RequestOf returns the request ID of an attempt ID, which is the request ID, '#' and a number.
 func RequestOf(attempt string) string {
 	id, _, _ := strings.Cut(attempt, "#")
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -42,6 +42,8 @@
 type health struct {
 	failures int
 	outUntil time.Time
+	// unreachable says that the engine's reports could not be read.
+	unreachable bool
 }
 
 func (h *health) succeeded() { h.failures = 0 }
@@ -53,7 +55,7 @@
 	}
 }
 
-func (h *health) usable(now time.Time) bool { return !now.Before(h.outUntil) }
+func (h *health) usable(now time.Time) bool { return !h.unreachable && !now.Before(h.outUntil) }
 
 // prefillEngine predicts when one prefill engine finishes work.
 type prefillEngine struct {
--- a/integration/answers_test.go
+++ b/integration/answers_test.go
@@ -55,6 +55,15 @@
 		<-done
 		c.decodes[1].SetFaults(standin.Faults{})
 	})
+	t.Run("a result whose decode engine is gone is placed elsewhere", func(t *testing.T) {
+		gone := document("Upstream", "decode-gone", `{"Pool": "decode", "Address": "`+freeAddr(t)+`", "Places": 1000}`)
+		c.t = t
+		c.put(c.vms[0], gone)
+		c.awaitInForce(c.vms...)
+		before := c.prefills[0].Stats().Prefills + c.prefills[1].Stats().Prefills
+		crowd(t, 20)
+		assert.Equal(t, before+20, c.prefills[0].Stats().Prefills+c.prefills[1].Stats().Prefills, "no prefill is done twice")
+	})
 	t.Run("prefill engine answers late or not at all", func(t *testing.T) {
 		c.prefills[0].SetFaults(standin.Faults{Status: http.StatusInternalServerError})
 		crowd(t, 10)
--- a/peer/inbox.go
+++ b/peer/inbox.go
@@ -41,6 +41,7 @@
 	Jobs      []Job
 	Prefilled []string
 	Finished  []FinishedJob
+	Misplaced []MisplacedJob
 	// Whole says that Jobs are all requests that the VM has in the lane.
 	Whole bool
 }
@@ -55,6 +56,12 @@
 	Gap time.Duration
 }
 
+// MisplacedJob is a request that a decode engine did not take.
+type MisplacedJob struct {
+	ID     string
+	Engine string
+}
+
 // FinishedJob is a request that needs nothing any more.
 type FinishedJob struct {
 	ID     string
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -83,14 +83,15 @@
 
 type jobsMessage struct {
 	Lane      string
-	Jobs      []jobMessage  `json:",omitempty"`
-	Prefilled []string      `json:",omitempty"`
-	Finished  []FinishedJob `json:",omitempty"`
-	Whole     bool          `json:",omitempty"`
+	Jobs      []jobMessage   `json:",omitempty"`
+	Prefilled []string       `json:",omitempty"`
+	Finished  []FinishedJob  `json:",omitempty"`
+	Misplaced []MisplacedJob `json:",omitempty"`
+	Whole     bool           `json:",omitempty"`
 }
 
 func encodeJobs(now time.Time, u JobUpdate) jobsMessage {
-	m := jobsMessage{Lane: u.Lane, Prefilled: u.Prefilled, Finished: u.Finished, Whole: u.Whole}
+	m := jobsMessage{Lane: u.Lane, Prefilled: u.Prefilled, Finished: u.Finished, Misplaced: u.Misplaced, Whole: u.Whole}
 	for _, j := range u.Jobs {
 		r := j.Request
 		m.Jobs = append(m.Jobs, jobMessage{
@@ -104,7 +105,7 @@
 }
 
 func (m jobsMessage) decode(now time.Time, from Identity) JobUpdate {
-	u := JobUpdate{Lane: m.Lane, Prefilled: m.Prefilled, Finished: m.Finished, Whole: m.Whole}
+	u := JobUpdate{Lane: m.Lane, Prefilled: m.Prefilled, Finished: m.Finished, Misplaced: m.Misplaced, Whole: m.Whole}
 	for _, j := range m.Jobs {
 		u.Jobs = append(u.Jobs, Job{Stage: j.Stage, Prefill: j.Prefill, Decode: j.Decode, Gap: micros(j.GapMicros), Request: dispatch.Request{
 			ID: j.ID, VM: from.VM, Incarnation: from.Incarnation, Account: j.Account, Weight: j.Weight,
--- a/trial/plan.go
+++ b/trial/plan.go
@@ -71,6 +71,8 @@
 	faultAt       = 50 * time.Second
 	floodFactor   = 5.0
 	slowFactor    = 0.2
+	// reportPeriod is how often engines are asked for their load.
+	reportPeriod = 200 * time.Millisecond
 	// progressPeriod is how often a VM tells how fast its running requests go.
 	progressPeriod = 500 * time.Millisecond
 )
--- a/trial/policy.go
+++ b/trial/policy.go
@@ -32,7 +32,10 @@
 	failed    func(c *call, engine string)
 	finished  func(c *call, gap time.Duration)
 	progress  func(c *call, gap time.Duration)
-	zoneCut   func(zone int)
+	// misplaced says that a decode engine did not take a call, whose result is still kept.
+	misplaced   func(c *call, engine string)
+	unreachable func(engine string)
+	zoneCut     func(zone int)
 }
 
 func (p Policy) build(s *simulation) policy {
@@ -69,7 +72,8 @@
 		start: func() {}, submit: b.submit, prefilled: b.prefilled, evicted: b.submit,
 		failed:   func(c *call, _ string) { b.submit(c) },
 		finished: func(c *call, _ time.Duration) { b.decodes[c.vm][c.decode]-- },
-		progress: func(*call, time.Duration) {}, zoneCut: func(int) {},
+		progress: func(*call, time.Duration) {}, zoneCut: func(int) {}, unreachable: func(string) {},
+		misplaced: func(c *call, _ string) { b.sim.evicted(c) },
 	}
 }
 
@@ -166,7 +170,10 @@
 }
 
 func (r *router) policy() policy {
-	return policy{start: r.tick, submit: r.submit, prefilled: r.prefilled, evicted: r.again, failed: r.failed, finished: r.finished, progress: r.progress, zoneCut: r.zoneCut}
+	return policy{
+		start: r.tick, submit: r.submit, prefilled: r.prefilled, evicted: r.again, failed: r.failed, finished: r.finished,
+		progress: r.progress, zoneCut: r.zoneCut, misplaced: r.misplaced, unreachable: r.unreachable,
+	}
 }
 
 func (r *router) time() time.Time { return simEpoch.Add(r.sim.now) }
@@ -237,6 +244,19 @@
 	r.sim.after(r.sim.plan.User.Hop, func() { r.core.Progress(id, gap.Seconds()) })
 }
 
+// misplaced asks for another place. If none comes in time the result is evicted.
+func (r *router) misplaced(c *call, engine string) {
+	id, try := c.grantedKey(), c.try
+	r.tell(func() { r.core.Misplaced(r.time(), id, engine) })
+	r.sim.after(retain-(r.sim.now-c.heldFrom), func() {
+		if c.try == try && c.stage == stageHeld && c.decode == nil {
+			r.sim.evicted(c)
+		}
+	})
+}
+
+func (r *router) unreachable(engine string) { r.core.Unreachable(engine) }
+
 func (r *router) again(c *call) { r.retry(c, "") }
 
 func (r *router) failed(c *call, engine string) { r.retry(c, engine) }
