Replace a lost dispatcher within a second

Cause: when the zone of a lane's dispatcher was cut, requests waited 1.9 s for the next one, longer than their first token may take. Ruled out: one shorter silence for everything; taking a VM for dead cancels its attempts, which a pause of 600 ms must not do. Change: a peer that was silent for 600 ms (PeerSuspectMillis) is passed over for jobs, and is taken for dead after 1.5 s as before; a new dispatcher waits 250 ms instead of 400 ms for running requests.

--- a/control/controller.go
+++ b/control/controller.go
@@ -107,7 +107,8 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.roster = roster.New(self.VM, self.Incarnation, roster.WithFreshness(cfg.Timing.Freshness()), roster.WithDeadAfter(cfg.Timing.PeerDead()))
+	c.roster = roster.New(self.VM, self.Incarnation, roster.WithFreshness(cfg.Timing.Freshness()), roster.WithDeadAfter(cfg.Timing.PeerDead()),
+		roster.WithSuspectAfter(cfg.Timing.PeerSuspect()))
 	c.startedAt = c.now()
 	state, _ := c.replay.State()
 	c.view = catalog.NewView(state, nil)
--- a/control/lanes.go
+++ b/control/lanes.go
@@ -14,7 +14,7 @@
 	// syncPeriod is how often a VM tells the dispatcher of a lane about all its requests there.
 	syncPeriod = 500 * time.Millisecond
 	// warmUp is how long a new dispatcher waits to hear of the requests that its predecessor granted.
-	warmUp = 400 * time.Millisecond
+	warmUp = 250 * time.Millisecond
 )
 
 // lane is a pair of pools with the requests of this VM, and the dispatcher if this VM runs it.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,6 +48,7 @@
 	self      Heartbeat
 	freshness time.Duration
 	dead      time.Duration
+	suspect   time.Duration
 	list      []Member
 	listed    bool
 	peers     map[string]peer
@@ -63,9 +64,13 @@
 // WithDeadAfter sets the silence after which a peer is taken for dead.
 func WithDeadAfter(d time.Duration) Option { return func(r *Roster) { r.dead = d } }
 
+// WithSuspectAfter sets the silence after which a peer is passed over for jobs.
+func WithSuspectAfter(d time.Duration) Option { return func(r *Roster) { r.suspect = d } }
+
 // New returns a roster that knows only its own VM.
 func New(vm, incarnation string, opts ...Option) *Roster {
-	r := &Roster{self: Heartbeat{VM: vm, Incarnation: incarnation}, freshness: 2 * time.Second, dead: 1500 * time.Millisecond, peers: map[string]peer{}}
+	r := &Roster{self: Heartbeat{VM: vm, Incarnation: incarnation}, freshness: 2 * time.Second, dead: 1500 * time.Millisecond,
+		suspect: 600 * time.Millisecond, peers: map[string]peer{}}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -133,19 +138,26 @@
 
 // Alive returns the VMs that take part, this one included, in name order.
 func (r *Roster) Alive(now time.Time) []string {
-	alive := []string{r.self.VM}
+	return r.heardWithin(r.dead, now)
+}
+
+// heardWithin returns this VM and those that were heard within a time.
+func (r *Roster) heardWithin(limit time.Duration, now time.Time) []string {
+	heard := []string{r.self.VM}
 	for _, m := range r.Peers() {
-		if r.isAlive(m.VM, now) {
-			alive = append(alive, m.VM)
+		if r.wasHeard(m.VM, limit, now) {
+			heard = append(heard, m.VM)
 		}
 	}
-	slices.Sort(alive)
-	return alive
+	slices.Sort(heard)
+	return heard
 }
 
-func (r *Roster) isAlive(vm string, now time.Time) bool {
+func (r *Roster) isAlive(vm string, now time.Time) bool { return r.wasHeard(vm, r.dead, now) }
+
+func (r *Roster) wasHeard(vm string, limit time.Duration, now time.Time) bool {
 	p, ok := r.peers[vm]
-	return ok && p.refusedAt.Before(p.heardAt) && now.Sub(p.heardAt) < r.dead
+	return ok && p.refusedAt.Before(p.heardAt) && now.Sub(p.heardAt) < limit
 }
 
 // IsDead reports whether a run of a VM's process is over, as far as can be told: another run was
@@ -162,10 +174,11 @@
 	return otherRun || !r.OnList(vm) || !r.isAlive(vm, now)
 }
 
-// First returns the VM that ranks first for a job, by rendezvous hashing over the ready VMs.
+// First returns the VM that ranks first for a job, by rendezvous hashing over the ready VMs that were
+// heard a moment ago. It changes sooner than IsDead, since a wrong answer costs little.
 func (r *Roster) First(job string, now time.Time) string {
 	var candidates []string
-	for _, vm := range r.Alive(now) {
+	for _, vm := range r.heardWithin(r.suspect, now) {
 		h := r.peers[vm].heartbeat
 		if vm == r.self.VM {
 			h = r.self
--- a/trial/policy.go
+++ b/trial/policy.go
@@ -144,7 +144,7 @@
 const (
 	tick = 10 * time.Millisecond
 	// failover is how long a lost dispatcher is missed: peers' silence and the warm-up.
-	failover = 1900 * time.Millisecond
+	failover = 850 * time.Millisecond
 )
 
 func newRouter(s *simulation, opts ...dispatch.Option) *router {
