--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,7 +68,7 @@
 	TokenWaitMillis   int `doc:"How long a request waits for account tokens before it is refused." default:"400" min:"0" max:"60000"`
 	ReportMillis      int `doc:"Period at which engines are asked for their load." default:"200" min:"10" max:"10000"`
 	RequestMillis     int `doc:"Longest time for one request." default:"120000" min:"100" max:"3600000"`
-	QueueMillis       int `doc:"Longest wait in a pool's queue before a request is refused." default:"20000" min:"10" max:"3600000"`
+	QueueMillis       int `doc:"Longest wait in a pool's queue before a request is refused." default:"100000" min:"10" max:"3600000"`
 	ServiceMillis     int `doc:"Timeout of one call to a plain service." default:"10000" min:"10" max:"600000"`
 	AppendMillis      int `doc:"How long an append may take, with reading back, before its outcome counts as unknown." default:"3000" min:"50" max:"60000"`
 	DrainMillis       int `doc:"Longest graceful shutdown." default:"150000" min:"100" max:"3600000"`
