--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/dispatch"
+	"github.com/cassiabridge/cassiabridge/roster"
+)
+
+const secret = "a-secret-for-the-tests"
+
+// listen starts a server of vm-1 that answers heartbeats and passes on job updates.
+func listen(t *testing.T, jobs chan JobUpdate) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := listener.Addr().String()
+	listener.Close()
+	_, closeServer, err := Listen(addr, Identity{VM: "vm-1", Incarnation: "i1"}, secret, Inbox{
+		Heartbeat: func(h roster.Heartbeat, reply func(roster.Heartbeat)) {
+			reply(roster.Heartbeat{VM: "vm-1", Next: h.Next + 1, LogAge: 3 * time.Second})
+		},
+		Jobs: func(_ Identity, u JobUpdate) { jobs <- u },
+	})
+	require.NoError(t, err)
+	t.Cleanup(closeServer)
+	return addr
+}
+
+func beat(t *testing.T, addr, vm, withSecret string) (roster.Heartbeat, error) {
+	link, closeLink := NewLink(Identity{VM: "vm-0", Incarnation: "i0"}, withSecret, vm, addr)
+	t.Cleanup(closeLink)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return link.Heartbeat(ctx, roster.Heartbeat{VM: "vm-0", Next: 4})
+}
+
+func assertKind(t *testing.T, err error, kind ErrorKind) {
+	t.Helper()
+	var peerErr *Error
+	if assert.ErrorAs(t, err, &peerErr) {
+		assert.Equal(t, kind, peerErr.Kind)
+	}
+}
+
+func TestPeersProveThemselves(t *testing.T) {
+	addr := listen(t, nil)
+	t.Run("with the secret", func(t *testing.T) {
+		h, err := beat(t, addr, "vm-1", secret)
+		assert.NoError(t, err)
+		assert.Equal(t, uint64(5), h.Next)
+		assert.Equal(t, 3*time.Second, h.LogAge)
+	})
+	t.Run("with another secret", func(t *testing.T) {
+		_, err := beat(t, addr, "vm-1", "another-secret-altogether")
+		assertKind(t, err, ErrUnproven)
+	})
+	t.Run("under another name", func(t *testing.T) {
+		_, err := beat(t, addr, "vm-2", secret)
+		assertKind(t, err, ErrUnproven)
+	})
+	t.Run("nothing listens", func(t *testing.T) {
+		_, err := beat(t, "127.0.0.1:1", "vm-1", secret)
+		assertKind(t, err, ErrRefused)
+	})
+}
+
+func TestJobsTravelWithDistancesInTime(t *testing.T) {
+	jobs := make(chan JobUpdate, 1)
+	link, closeLink := NewLink(Identity{VM: "vm-0", Incarnation: "i0"}, secret, "vm-1", listen(t, jobs))
+	defer closeLink()
+	now := time.Now()
+	request := dispatch.Request{ID: "r", Account: "a", PromptTokens: 7, Prefix: []uint64{1 << 63}, ArrivedAt: now.Add(-time.Second), FirstTokenBy: now.Add(time.Second)}
+	link.Jobs(now, JobUpdate{Lane: "l", Jobs: []Job{{Request: request, Stage: dispatch.StageDecode, Gap: 40 * time.Millisecond}}})
+	select {
+	case u := <-jobs:
+		got := u.Jobs[0]
+		assert.Equal(t, "vm-0", got.Request.VM)
+		assert.Equal(t, []uint64{1 << 63}, got.Request.Prefix)
+		assert.Equal(t, dispatch.StageDecode, got.Stage)
+		assert.Equal(t, 40*time.Millisecond, got.Gap)
+		assert.WithinDuration(t, now.Add(time.Second), got.Request.FirstTokenBy, 500*time.Millisecond)
+	case <-time.After(5 * time.Second):
+		assert.Fail(t, "the update did not come")
+	}
+}
+
+func FuzzJobsMessage(f *testing.F) {
+	f.Add([]byte(`{"Lane": "l", "Jobs": [{"ID": "r", "AgeMicros": -9223372036854775808}], "Whole": true}`))
+	f.Add([]byte(`{"Jobs": [{"Prefix": [18446744073709551615]}], "Finished": [{}], "Misplaced": [{}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m jobsMessage
+		if json.Unmarshal(data, &m) != nil {
+			return
+		}
+		u := m.decode(time.Unix(0, 0), Identity{VM: "vm"})
+		assert.Len(t, u.Jobs, len(m.Jobs))
+		encodeJobs(time.Unix(0, 0), u)
+	})
+}
