Predict places only for requests that can wait for them

At overload the request that is served next is close to its deadline and cannot wait for a place that comes later than predicted. Change: predicted places count only if the request would still be in time after waiting for one; then one standard deviation below the mean is enough.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,7 +28,7 @@
 	// retainShare is the part of the retention time that a result may be expected to wait.
 	retainShare = 0.25
 	// completionSigmas is how many standard deviations below the mean completions are predicted.
-	completionSigmas = 3.0
+	completionSigmas = 1.0
 )
 
 // Lane describes the pools that a dispatcher serves.
@@ -438,14 +438,21 @@
 	return d.lane.TokenGap == 0 || e.gap <= d.lane.TokenGap.Seconds()
 }
 
-// placesBy predicts how many places within a reach that nobody was promised are free at the end of a
-// wait.
-func (d *Dispatcher) placesBy(now time.Time, wait time.Duration, within reach) float64 {
-	free, running := 0, 0
+// placeWait is how long a prefill result may be expected to wait for a place.
+func (d *Dispatcher) placeWait() time.Duration {
+	if d.reserve {
+		return 0
+	}
+	return time.Duration(retainShare * float64(d.lane.Retain))
+}
+
+// freePlaces returns how many places within a reach are free and promised to nobody. It is negative
+// when more is promised than there is.
+func (d *Dispatcher) freePlaces(now time.Time, within reach) float64 {
+	free := 0
 	for _, e := range d.decodes {
 		if e.usable(now) && d.reaches(within, e) {
 			free += max(0, e.free())
-			running += len(e.running)
 		}
 	}
 	promised := 0
@@ -457,12 +464,22 @@
 			promised += d.promise(j, within)
 		}
 	}
-	expected := 0.0
-	if !d.reserve {
-		mean := float64(running) * d.completions * wait.Seconds()
-		expected = math.Max(0, mean-completionSigmas*math.Sqrt(mean))
+	return float64(free - promised)
+}
+
+// expectedPlaces returns how many places within a reach are almost certain to come free within a wait.
+func (d *Dispatcher) expectedPlaces(now time.Time, wait time.Duration, within reach) float64 {
+	if d.reserve {
+		return 0
+	}
+	running := 0
+	for _, e := range d.decodes {
+		if e.usable(now) && d.reaches(within, e) {
+			running += len(e.running)
+		}
 	}
-	return float64(free-promised) + expected
+	mean := float64(running) * d.completions * wait.Seconds()
+	return math.Max(0, mean-completionSigmas*math.Sqrt(mean))
 }
 
 // promise returns how many of the places within a reach a started request takes.
@@ -529,8 +546,11 @@
 	if p == nil || p.backlog(now).Sub(now) > prefillPipeline {
 		return Decision{}, false
 	}
-	slack := time.Duration(retainShare * float64(d.lane.Retain))
-	if d.placesBy(now, due.Sub(now)+slack, within) < 1 {
+	places := d.freePlaces(now, within)
+	if wait := d.placeWait(); d.dueBy(j, due.Add(wait)) {
+		places += d.expectedPlaces(now, due.Add(wait).Sub(now), within)
+	}
+	if places < 1 {
 		return Decision{}, false
 	}
 	q := d.queues[j.Account]
@@ -587,7 +607,12 @@
 
 func (d *Dispatcher) inTime(now time.Time, j *job) bool {
 	_, due := d.bestPrefill(now, j)
-	return !due.Add(d.lane.transfer(j.PromptTokens) + timelyMargin).After(j.FirstTokenBy)
+	return d.dueBy(j, due)
+}
+
+// dueBy reports whether a request that gets its place at a time can be expected to be in time.
+func (d *Dispatcher) dueBy(j *job, placed time.Time) bool {
+	return !placed.Add(d.lane.transfer(j.PromptTokens) + timelyMargin).After(j.FirstTokenBy)
 }
 
 // bestPrefill returns the engine that is expected to finish first, and when.
--- a/trial/run/main.go
+++ b/trial/run/main.go
@@ -3,9 +3,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 
 	"github.com/cassiabridge/cassiabridge/trial"
@@ -16,6 +18,7 @@
 	user := flag.String("user", "", "zarqa or resham; empty means both")
 	policy := flag.String("policy", "", "one policy only")
 	jsonFile := flag.String("json", "", "file to write the results to")
+	plotDir := flag.String("plot", "", "folder for one plot of each user; needs all policies")
 	flag.Parse()
 	policies := trial.Policies()
 	if *policy != "" {
@@ -27,12 +30,24 @@
 			results = append(results, trial.Measure(u, policies, trial.Cases(), *seeds)...)
 		}
 	}
-	if err := report(results, *jsonFile); err != nil {
+	if err := errors.Join(report(results, *jsonFile), plots(results, *plotDir)); err != nil {
 		fmt.Fprintln(os.Stderr, "run:", err)
 		os.Exit(1)
 	}
 }
 
+func plots(results []trial.Result, dir string) error {
+	if dir == "" {
+		return nil
+	}
+	for _, u := range trial.Users() {
+		if err := trial.Plot(filepath.Join(dir, "goodput-"+u.Name+".svg"), u.Name, results); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func report(results []trial.Result, jsonFile string) error {
 	if err := trial.Print(os.Stdout, results); err != nil {
 		return err
