Cut what an idle VM spends on control

Ruled out: heartbeats at 500 ms for all; a lost dispatcher must be noticed within 600 ms, so VMs that dispatch a lane are still asked every 250 ms, and only they are suspect after a short silence. Change: other VMs are asked every 500 ms; heartbeats leave out what the connection has proved and are framed by a varint; a VM without requests in a lane says so every 5 s instead of twice a second; only accounts that wait or borrow are visited; idle ticks come every 50 ms; the list is indexed.

--- a/control/controller.go
+++ b/control/controller.go
@@ -26,6 +26,10 @@
 	eventQueue = 8192
 	// tickPeriod bounds how late a timed decision is made.
 	tickPeriod = 10 * time.Millisecond
+	// idleTickPeriod is the period of ticks while no request waits.
+	idleTickPeriod = 50 * time.Millisecond
+	// publishPeriod bounds how late traffic sees a change that no event announced.
+	publishPeriod = 100 * time.Millisecond
 	// clockDriftMargin covers clocks that run at different speeds over one loan term.
 	clockDriftMargin = 100 * time.Millisecond
 )
@@ -69,6 +73,7 @@
 	draining  bool
 	withdrawn map[string]withdrawal
 	buckets   map[string]*accountBucket
+	busy      map[string]*accountBucket
 	slots     slotState
 	links     map[string]*peerLink
 	lanes     map[string]*lane
@@ -81,7 +86,7 @@
 
 // periods holds when each periodic job last ran.
 type periods struct {
-	slots, snapshots, orders, sync time.Time
+	publish, slots, snapshots, orders, sync time.Time
 }
 
 // Option changes a new Controller.
@@ -101,7 +106,7 @@
 	c := &Controller{
 		cfg: cfg, self: self, log: zap.NewNop(), metrics: metrics.New(), engines: engines, cancels: cancels, now: time.Now,
 		events: make(chan func(), eventQueue), appends: make(chan pendingAppend, eventQueue), streams: newStreamSet(),
-		replay: catalog.NewReplay(nil), withdrawn: map[string]withdrawal{}, buckets: map[string]*accountBucket{},
+		replay: catalog.NewReplay(nil), withdrawn: map[string]withdrawal{}, buckets: map[string]*accountBucket{}, busy: map[string]*accountBucket{},
 		links: map[string]*peerLink{}, lanes: map[string]*lane{}, waiters: map[string]func(catalog.Verdict){}, orders: map[string]time.Time{},
 	}
 	for _, opt := range opts {
@@ -154,8 +159,8 @@
 }
 
 func (c *Controller) run(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickPeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -164,12 +169,26 @@
 			return
 		case event := <-c.events:
 			event()
-		case <-ticker.C:
+		case <-timer.C:
 			c.tick(c.now())
+			timer.Reset(c.nextTick())
 		}
 	}
 }
 
+// nextTick returns the time to the next tick, which is longer while no request waits for it.
+func (c *Controller) nextTick() time.Duration {
+	if len(c.busy) > 0 {
+		return tickPeriod
+	}
+	for _, l := range c.lanes {
+		if l.hasWork() {
+			return tickPeriod
+		}
+	}
+	return idleTickPeriod
+}
+
 // drainEvents runs late events after the stop, so that nobody waits for an answer forever.
 func (c *Controller) drainEvents() {
 	for {
@@ -194,7 +213,6 @@
 func (c *Controller) tick(now time.Time) {
 	c.serveTokenQueues(now)
 	c.tickLanes(now)
-	c.publish()
 	due := func(last *time.Time, period time.Duration) bool {
 		if now.Sub(*last) < period {
 			return false
@@ -202,6 +220,9 @@
 		*last = now
 		return true
 	}
+	if due(&c.lastTick.publish, publishPeriod) {
+		c.publish()
+	}
 	if due(&c.lastTick.slots, slotPeriod) {
 		c.balanceSlots(now)
 	}
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -72,22 +72,40 @@
 
 func (c *Controller) sendHeartbeats(ctx context.Context, vm string, link *peer.Link) {
 	for ctx.Err() == nil {
-		own := ask(c, c.heartbeat)
+		own, period := askPair(c, func() (roster.Heartbeat, time.Duration) { return c.heartbeat(), c.heartbeatPeriod(vm) })
 		sentAt := c.now()
 		callCtx, cancel := context.WithTimeout(ctx, c.cfg.Timing.PeerDead())
 		answer, err := link.Heartbeat(callCtx, own)
 		cancel()
 		c.post(func() { c.takeAnswer(vm, sentAt, answer, err) })
-		sleep(ctx, c.cfg.Timing.Heartbeat())
+		sleep(ctx, period)
 	}
 }
 
+// heartbeatPeriod is short for VMs that dispatch a lane, whose loss must be noticed soon.
+func (c *Controller) heartbeatPeriod(vm string) time.Duration {
+	if c.dispatchers()[vm] {
+		return c.cfg.Timing.Heartbeat()
+	}
+	return c.cfg.Timing.IdleHeartbeat()
+}
+
+// dispatchers returns the VMs that dispatch a lane, as far as this VM knows.
+func (c *Controller) dispatchers() map[string]bool {
+	found := map[string]bool{}
+	for _, l := range c.lanes {
+		found[l.owner] = true
+	}
+	return found
+}
+
 func (c *Controller) takeAnswer(vm string, sentAt time.Time, answer roster.Heartbeat, err error) {
 	var peerErr *peer.Error
 	switch {
 	case err == nil:
 		c.roster.Heard(answer, sentAt)
 		c.addWithdrawals(answer.Withdrawn)
+		c.publish()
 	case errors.As(err, &peerErr) && peerErr.Kind == peer.ErrRefused:
 		c.roster.Refused(vm, sentAt)
 	}
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -123,7 +123,15 @@
 	}
 }
 
-func (c *Controller) syncLane(_ time.Time, l *lane) {
+// syncLane sends all requests of a lane. That there are none is said less often.
+func (c *Controller) syncLane(now time.Time, l *lane) {
+	if len(l.jobs) > 0 {
+		l.emptySince = time.Time{}
+	} else if now.Sub(l.emptySince) < emptySyncPeriod {
+		return
+	} else {
+		l.emptySince = now
+	}
 	u := peer.JobUpdate{Lane: l.name, Whole: true}
 	for _, j := range l.jobs {
 		u.Jobs = append(u.Jobs, j.describe())
--- a/control/lanes.go
+++ b/control/lanes.go
@@ -13,6 +13,8 @@
 const (
 	// syncPeriod is how often a VM tells the dispatcher of a lane about all its requests there.
 	syncPeriod = 500 * time.Millisecond
+	// emptySyncPeriod is how often a VM without requests in a lane says so.
+	emptySyncPeriod = 5 * time.Second
 	// warmUp is how long a new dispatcher waits to hear of the requests that its predecessor granted.
 	warmUp = 250 * time.Millisecond
 )
@@ -29,7 +31,8 @@
 
 	dispatcher *dispatch.Dispatcher
 	warmAt     time.Time
-	synced     map[string]time.Time
+	// emptySince is when the dispatcher was last told that this VM has no requests.
+	emptySince time.Time
 	reports    map[string]func()
 }
 
@@ -43,6 +46,18 @@
 	}
 }
 
+// hasWork reports whether requests of this VM, or of any in its dispatcher, are under way.
+func (l *lane) hasWork() bool {
+	if len(l.jobs) > 0 {
+		return true
+	}
+	if l.dispatcher == nil {
+		return false
+	}
+	queued, active := l.dispatcher.Counts()
+	return queued+active > 0
+}
+
 // configureLanes brings the lanes in line with the routes, pools and upstreams.
 func (c *Controller) configureLanes() {
 	wanted := map[string]bool{}
@@ -51,7 +66,7 @@
 		wanted[name] = true
 		l := c.lanes[name]
 		if l == nil {
-			l = &lane{name: name, jobs: map[string]*Job{}, synced: map[string]time.Time{}, reports: map[string]func(){}}
+			l = &lane{name: name, jobs: map[string]*Job{}, reports: map[string]func(){}}
 			c.lanes[name] = l
 		}
 		c.configureLane(l, route)
@@ -87,6 +102,7 @@
 
 // tickLanes follows changes of the dispatching VM and makes the decisions that are due.
 func (c *Controller) tickLanes(now time.Time) {
+	c.roster.Watch(c.dispatchers())
 	for _, l := range c.lanes {
 		owner := c.roster.First("lane/"+l.name, now)
 		if owner != l.owner {
@@ -100,11 +116,13 @@
 		if l.dispatcher == nil {
 			continue
 		}
-		l.dispatcher.DropVM(now, func(vm, incarnation string) bool { return c.roster.IsDead(vm, incarnation, now) })
 		if c.retireDispatcher(l, now) {
 			continue
 		}
-		c.pollLane(now, l)
+		if queued, active := l.dispatcher.Counts(); queued+active > 0 {
+			l.dispatcher.DropVM(now, func(vm, incarnation string) bool { return c.roster.IsDead(vm, incarnation, now) })
+			c.pollLane(now, l)
+		}
 	}
 }
 
--- a/control/tokens.go
+++ b/control/tokens.go
@@ -98,6 +98,9 @@
 	}
 	b.waiting = append(b.waiting, wait)
 	c.serveAccount(c.now(), b)
+	if len(b.waiting) > 0 {
+		c.busy[account] = b
+	}
 }
 
 func (b *accountBucket) refusal(now time.Time, tokens float64) error {
@@ -108,14 +111,17 @@
 	return &Error{Op: "reserve", Kind: ErrOverRate, RetryAfter: retry, Err: errors.New("the account has used up its rate")}
 }
 
-// serveTokenQueues serves or refuses the waiting requests of all accounts.
+// serveTokenQueues serves or refuses the waiting requests, and ends loans that are not needed. Only
+// accounts that wait or have borrowed are visited.
 func (c *Controller) serveTokenQueues(now time.Time) {
-	for _, b := range c.buckets {
-		b.learnDemand(now)
+	for name, b := range c.busy {
 		if len(b.waiting) > 0 {
 			c.serveAccount(now, b)
 		}
 		c.endLoans(now, b)
+		if len(b.waiting) == 0 && !b.bucket.HasLoans() {
+			delete(c.busy, name)
+		}
 	}
 }
 
@@ -140,6 +146,7 @@
 		}
 		reservation, ok := b.bucket.Take(now, wait.tokens)
 		if ok {
+			b.learnDemand(now)
 			b.used += wait.tokens
 			wait.answer <- tokenAnswer{reservation: reservation}
 			b.waiting = b.waiting[1:]
@@ -193,6 +200,7 @@
 			return
 		}
 		now := c.now()
+		c.busy[request.Account] = b
 		b.bucket.Borrow(now, share.Loan{ID: request.ID, Lender: vm, Amount: amount, Until: until})
 		c.serveAccount(now, b)
 		c.endLoans(now, b)
@@ -215,6 +223,7 @@
 	if b == nil || len(b.waiting) > 0 {
 		return 0
 	}
+	b.learnDemand(c.now())
 	keep := b.demand * keepHorizon.Seconds()
 	amount := b.bucket.Lend(c.now(), r.ID, r.Want, keep, r.Term)
 	if amount > 0 {
@@ -257,6 +266,7 @@
 			wait.answer <- tokenAnswer{err: b.refusal(now, wait.tokens)}
 		}
 		delete(c.buckets, name)
+		delete(c.busy, name)
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -130,7 +130,7 @@
 	inbox, now := s.server.inbox, s.server.now()
 	switch call.req.Method {
 	case methodHeartbeat:
-		if m, ok := params[heartbeatMessage](call); ok && m.VM == s.from.VM {
+		if m, ok := params[heartbeatMessage](call); ok {
 			s.handleHeartbeat(call, m)
 		}
 	case methodState:
@@ -170,7 +170,7 @@
 // handleHeartbeat passes on what the peer says of itself. How old it is when it comes is not known,
 // so only answers to own heartbeats count for freshness.
 func (s *session) handleHeartbeat(call incoming, m heartbeatMessage) {
-	s.server.inbox.Heartbeat(m.decode(), func(own roster.Heartbeat) { call.reply(encodeHeartbeat(own)) })
+	s.server.inbox.Heartbeat(m.decode(s.from), func(own roster.Heartbeat) { call.reply(encodeHeartbeat(own)) })
 }
 
 // incoming is one message that awaits an answer, or none if it is a notification.
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -27,5 +27,5 @@
 func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) }
 
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(deadlineConn{conn}, jsonrpc2.VSCodeObjectCodec{})
+	return jsonrpc2.NewBufferedStream(deadlineConn{conn}, jsonrpc2.VarintObjectCodec{})
 }
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -30,8 +30,8 @@
 	VM, Incarnation, Proof string
 }
 
+// heartbeatMessage leaves out who sends it, which the connection has proved.
 type heartbeatMessage struct {
-	VM, Incarnation string
 	Next            uint64
 	LogAgeMillis    int64
 	Ready, Draining bool     `json:",omitempty"`
@@ -39,12 +39,11 @@
 }
 
 func encodeHeartbeat(h roster.Heartbeat) heartbeatMessage {
-	return heartbeatMessage{VM: h.VM, Incarnation: h.Incarnation, Next: h.Next, LogAgeMillis: h.LogAge.Milliseconds(),
-		Ready: h.Ready, Draining: h.Draining, Withdrawn: h.Withdrawn}
+	return heartbeatMessage{Next: h.Next, LogAgeMillis: h.LogAge.Milliseconds(), Ready: h.Ready, Draining: h.Draining, Withdrawn: h.Withdrawn}
 }
 
-func (m heartbeatMessage) decode() roster.Heartbeat {
-	return roster.Heartbeat{VM: m.VM, Incarnation: m.Incarnation, Next: m.Next, LogAge: time.Duration(m.LogAgeMillis) * time.Millisecond,
+func (m heartbeatMessage) decode(from Identity) roster.Heartbeat {
+	return roster.Heartbeat{VM: from.VM, Incarnation: from.Incarnation, Next: m.Next, LogAge: time.Duration(m.LogAgeMillis) * time.Millisecond,
 		Ready: m.Ready, Draining: m.Draining, Withdrawn: m.Withdrawn}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,7 +49,9 @@
 	freshness time.Duration
 	dead      time.Duration
 	suspect   time.Duration
+	watched   map[string]bool
 	list      []Member
+	onList    map[string]bool
 	listed    bool
 	peers     map[string]peer
 	logReadAt time.Time
@@ -67,6 +69,9 @@
 // WithSuspectAfter sets the silence after which a peer is passed over for jobs.
 func WithSuspectAfter(d time.Duration) Option { return func(r *Roster) { r.suspect = d } }
 
+// Watch names the VMs that are heard often, so that a short silence of theirs says something.
+func (r *Roster) Watch(vms map[string]bool) { r.watched = vms }
+
 // New returns a roster that knows only its own VM.
 func New(vm, incarnation string, opts ...Option) *Roster {
 	r := &Roster{self: Heartbeat{VM: vm, Incarnation: incarnation}, freshness: 2 * time.Second, dead: 1500 * time.Millisecond,
@@ -81,6 +86,10 @@
 func (r *Roster) SetList(members []Member) {
 	r.list = slices.Clone(members)
 	slices.SortFunc(r.list, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	r.onList = map[string]bool{}
+	for _, m := range members {
+		r.onList[m.VM] = true
+	}
 	r.listed = true
 }
 
@@ -100,7 +109,7 @@
 
 // OnList reports whether the platform's list has a VM.
 func (r *Roster) OnList(vm string) bool {
-	return slices.ContainsFunc(r.list, func(m Member) bool { return m.VM == vm })
+	return r.onList[vm]
 }
 
 // Heard takes a heartbeat. at is the time at which its exchange was started, so that its age is
@@ -138,19 +147,19 @@
 
 // Alive returns the VMs that take part, this one included, in name order.
 func (r *Roster) Alive(now time.Time) []string {
-	return r.heardWithin(r.dead, now)
-}
-
-// heardWithin returns this VM and those that were heard within a time.
-func (r *Roster) heardWithin(limit time.Duration, now time.Time) []string {
-	heard := []string{r.self.VM}
+	alive := []string{r.self.VM}
 	for _, m := range r.Peers() {
-		if r.wasHeard(m.VM, limit, now) {
-			heard = append(heard, m.VM)
+		if r.isAlive(m.VM, now) {
+			alive = append(alive, m.VM)
 		}
 	}
-	slices.Sort(heard)
-	return heard
+	slices.Sort(alive)
+	return alive
+}
+
+// isSuspect reports whether a VM that is heard often has been silent for a moment.
+func (r *Roster) isSuspect(vm string, now time.Time) bool {
+	return vm != r.self.VM && r.watched[vm] && !r.wasHeard(vm, r.suspect, now)
 }
 
 func (r *Roster) isAlive(vm string, now time.Time) bool { return r.wasHeard(vm, r.dead, now) }
@@ -174,16 +183,16 @@
 	return otherRun || !r.OnList(vm) || !r.isAlive(vm, now)
 }
 
-// First returns the VM that ranks first for a job, by rendezvous hashing over the ready VMs that were
-// heard a moment ago. It changes sooner than IsDead, since a wrong answer costs little.
+// First returns the VM that ranks first for a job, by rendezvous hashing over the ready VMs without
+// those that are suspect. It changes sooner than IsDead, since a wrong answer costs little.
 func (r *Roster) First(job string, now time.Time) string {
 	var candidates []string
-	for _, vm := range r.heardWithin(r.suspect, now) {
+	for _, vm := range r.Alive(now) {
 		h := r.peers[vm].heartbeat
 		if vm == r.self.VM {
 			h = r.self
 		}
-		if h.Ready && !h.Draining {
+		if h.Ready && !h.Draining && !r.isSuspect(vm, now) {
 			candidates = append(candidates, vm)
 		}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,21 +58,22 @@
 
 // Timing holds the periods and timeouts, in milliseconds.
 type Timing struct {
-	FreshnessMillis   int `doc:"Age after which the agreed state is no longer trusted for keyed requests." default:"2000" min:"200" max:"60000"`
-	HeartbeatMillis   int `doc:"Period of heartbeats between VMs." default:"250" min:"20" max:"10000"`
-	PeerDeadMillis    int `doc:"Silence after which a peer is taken for dead." default:"1500" min:"100" max:"60000"`
-	PeerSuspectMillis int `doc:"Silence after which a peer is passed over for jobs such as dispatching a lane." default:"600" min:"50" max:"60000"`
-	LogWaitMillis     int `doc:"How long a read waits at the head of the log." default:"500" min:"10" max:"30000"`
-	ListMillis        int `doc:"Period at which the list of VMs is read." default:"500" min:"20" max:"60000"`
-	LoanMillis        int `doc:"Term of a loan of account tokens." default:"1000" min:"50" max:"60000"`
-	TokenWaitMillis   int `doc:"How long a request waits for account tokens before it is refused." default:"400" min:"0" max:"60000"`
-	ReportMillis      int `doc:"Period at which engines are asked for their load." default:"200" min:"10" max:"10000"`
-	RequestMillis     int `doc:"Longest time for one request." default:"120000" min:"100" max:"3600000"`
-	QueueMillis       int `doc:"Longest wait in a pool's queue before a request is refused." default:"100000" min:"10" max:"3600000"`
-	ServiceMillis     int `doc:"Timeout of one call to a plain service." default:"10000" min:"10" max:"600000"`
-	AppendMillis      int `doc:"How long an append may take, with reading back, before its outcome counts as unknown." default:"3000" min:"50" max:"60000"`
-	DrainMillis       int `doc:"Longest graceful shutdown." default:"150000" min:"100" max:"3600000"`
-	RetentionMillis   int `doc:"How long the log keeps records. Snapshots are written at half of it." default:"86400000" min:"1000" max:"31536000000"`
+	FreshnessMillis     int `doc:"Age after which the agreed state is no longer trusted for keyed requests." default:"2000" min:"200" max:"60000"`
+	HeartbeatMillis     int `doc:"Period of heartbeats to VMs that dispatch a lane." default:"250" min:"20" max:"10000"`
+	IdleHeartbeatMillis int `doc:"Period of heartbeats to other VMs. A third of PeerDeadMillis at most." default:"500" min:"20" max:"10000"`
+	PeerDeadMillis      int `doc:"Silence after which a peer is taken for dead." default:"1500" min:"100" max:"60000"`
+	PeerSuspectMillis   int `doc:"Silence after which a VM that dispatches a lane is passed over for jobs." default:"600" min:"50" max:"60000"`
+	LogWaitMillis       int `doc:"How long a read waits at the head of the log." default:"500" min:"10" max:"30000"`
+	ListMillis          int `doc:"Period at which the list of VMs is read." default:"500" min:"20" max:"60000"`
+	LoanMillis          int `doc:"Term of a loan of account tokens." default:"1000" min:"50" max:"60000"`
+	TokenWaitMillis     int `doc:"How long a request waits for account tokens before it is refused." default:"400" min:"0" max:"60000"`
+	ReportMillis        int `doc:"Period at which engines are asked for their load." default:"200" min:"10" max:"10000"`
+	RequestMillis       int `doc:"Longest time for one request." default:"120000" min:"100" max:"3600000"`
+	QueueMillis         int `doc:"Longest wait in a pool's queue before a request is refused." default:"100000" min:"10" max:"3600000"`
+	ServiceMillis       int `doc:"Timeout of one call to a plain service." default:"10000" min:"10" max:"600000"`
+	AppendMillis        int `doc:"How long an append may take, with reading back, before its outcome counts as unknown." default:"3000" min:"50" max:"60000"`
+	DrainMillis         int `doc:"Longest graceful shutdown." default:"150000" min:"100" max:"3600000"`
+	RetentionMillis     int `doc:"How long the log keeps records. Snapshots are written at half of it." default:"86400000" min:"1000" max:"31536000000"`
 }
 
 // Log configures the events that the process writes to standard error.
@@ -88,6 +89,9 @@
 // Heartbeat returns HeartbeatMillis as a duration.
 func (t Timing) Heartbeat() time.Duration { return millis(t.HeartbeatMillis) }
 
+// IdleHeartbeat returns IdleHeartbeatMillis as a duration.
+func (t Timing) IdleHeartbeat() time.Duration { return millis(t.IdleHeartbeatMillis) }
+
 // PeerDead returns PeerDeadMillis as a duration.
 func (t Timing) PeerDead() time.Duration { return millis(t.PeerDeadMillis) }
 
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -243,6 +243,9 @@
 	}
 }
 
+// HasLoans reports whether the bucket holds borrowed tokens.
+func (b *Bucket) HasLoans() bool { return len(b.borrowed) > 0 }
+
 // EndLoans ends the loans that are spent, and all loans when idle is true, and returns what the
 // lenders must be told.
 func (b *Bucket) EndLoans(now time.Time, idle bool) []Return {
