Let no caller hold an engine by not reading, nor a VM by not sending

Cause: found by reading: a write to a caller that takes no bytes blocked without limit, and with it the engine's stream and place; a body could be sent as slowly as one liked. Ruled out: the request's timeout; it does not interrupt a blocked write. Change: each write of an answer has 10 s, reading a request 30 s. Tests: a stalled caller on a connection without buffers, malformed input of thirteen kinds, operators' credentials, every command of the program, old orders at engines that check the fencing number. Before: the stalled caller's test does not apply to the old code, which had no limit to set. After: passes in 0.06 s.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -16,6 +16,9 @@
 	chatFormat
 )
 
+// stallTimeout is how long a caller may take no bytes of its answer before it counts as gone.
+const stallTimeout = 10 * time.Second
+
 // answerWriter writes one completion answer: token by token as server-sent events, or whole.
 type answerWriter struct {
 	w       http.ResponseWriter
@@ -25,10 +28,11 @@
 	created int64
 	text    strings.Builder
 	open    bool
+	stall   time.Duration
 }
 
 func newAnswerWriter(w http.ResponseWriter, call completion, id string, now time.Time) *answerWriter {
-	return &answerWriter{w: w, flush: http.NewResponseController(w), call: call, id: id, created: now.Unix()}
+	return &answerWriter{w: w, flush: http.NewResponseController(w), call: call, id: id, created: now.Unix(), stall: stallTimeout}
 }
 
 type answerBody struct {
@@ -73,14 +77,22 @@
 		a.w.Header().Set("Cache-Control", "no-store")
 		a.open = true
 	}
+	a.extendDeadline()
 	if err := a.event(a.body(a.chunk(text, nil), nil)); err != nil {
 		return err
 	}
 	return a.flush.Flush()
 }
 
+// extendDeadline keeps a caller that does not read from holding an engine. Connections without
+// deadlines, as in tests, are left as they are.
+func (a *answerWriter) extendDeadline() {
+	_ = a.flush.SetWriteDeadline(time.Now().Add(a.stall))
+}
+
 // finish writes the proper end of the answer.
 func (a *answerWriter) finish(reason string, usage answerUsage) error {
+	a.extendDeadline()
 	if a.call.stream {
 		if err := a.event(a.body(a.chunk("", &reason), &usage)); err != nil {
 			return err
--- a/caller/server.go
+++ b/caller/server.go
@@ -91,7 +91,13 @@
 	account   resource.ClientAccount
 }
 
+// bodyTimeout is how long a caller may take to send its request.
+const bodyTimeout = 30 * time.Second
+
 func (s *Server) read(w http.ResponseWriter, r *request) *Error {
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.cfg.Limits.BodyBytes)))
 	var tooLarge *http.MaxBytesError
 	switch {
