--- a/app/client.go
+++ b/app/client.go
@@ -29,6 +29,25 @@
 	common Common
 }
 
+// clientRun runs a command that calls the resource API.
+type clientRun func(c *client, args []string) error
+
+// clientSetup returns the setup of a command that calls the resource API. declare declares the flags of
+// the command's own.
+func clientSetup(declare func(flags *flag.FlagSet) clientRun) func(flags *flag.FlagSet) func(Common, []string) error {
+	return func(flags *flag.FlagSet) func(Common, []string) error {
+		connect := clientFlags(flags)
+		run := declare(flags)
+		return func(common Common, args []string) error {
+			c, err := connect(common)
+			if err != nil {
+				return err
+			}
+			return run(c, args)
+		}
+	}
+}
+
 // clientFlags declares the flags that all client commands share.
 func clientFlags(flags *flag.FlagSet) func(common Common) (*client, error) {
 	server := flags.String("server", envOr(envServer, "http://127.0.0.1:8081"), "base URL of a VM's operator port, or "+envServer)
--- a/app/get.go
+++ b/app/get.go
@@ -19,19 +19,14 @@
 	return command{
 		name: "get", synopsis: "Show resources.", args: "[KIND | KIND/NAME]",
 		examples: []string{"cassiabridge get", "cassiabridge get Upstream", "cassiabridge get -output json Route/notes"},
-		setup: func(flags *flag.FlagSet) func(Common, []string) error {
-			connect := clientFlags(flags)
-			return func(common Common, args []string) error {
-				c, err := connect(common)
-				if err != nil {
-					return err
-				}
+		setup: clientSetup(func(flags *flag.FlagSet) clientRun {
+			return func(c *client, args []string) error {
 				if len(args) > 1 {
 					return usageError("get takes at most one kind or resource")
 				}
 				return c.get(strings.Join(args, ""))
 			}
-		},
+		}),
 	}
 }
 
--- a/app/put.go
+++ b/app/put.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"flag"
-	"fmt"
 	"net/http"
 	"net/url"
 	"os"
@@ -25,15 +24,10 @@
 	return command{
 		name: "put", synopsis: "Create or change resources from a file of declarations; what does not differ is left alone.", args: "",
 		examples: []string{"cassiabridge put -f declarations.jsonc -dry-run", "cassiabridge put -f declarations.jsonc"},
-		setup: func(flags *flag.FlagSet) func(Common, []string) error {
-			connect := clientFlags(flags)
+		setup: clientSetup(func(flags *flag.FlagSet) clientRun {
 			file := flags.String("f", "", `file with {"Resources": [{"Kind", "Name", "Spec"}]} in JSON with comments`)
 			dryRun := flags.Bool("dry-run", false, "show what would change and change nothing")
-			return func(common Common, args []string) error {
-				c, err := connect(common)
-				if err != nil {
-					return err
-				}
+			return func(c *client, args []string) error {
 				if *file == "" || len(args) > 0 {
 					return usageError("put needs -f FILE")
 				}
@@ -43,7 +37,7 @@
 				}
 				return c.put(docs, *dryRun)
 			}
-		},
+		}),
 	}
 }
 
@@ -120,33 +114,3 @@
 	result.Version = answer.Version
 	return result, err
 }
-
-func deleteCommand() command {
-	return command{
-		name: "delete", synopsis: "Delete a resource.", args: "KIND/NAME",
-		examples: []string{"cassiabridge delete Upstream/decode-3", "cassiabridge delete -expect 812 Route/notes"},
-		setup: func(flags *flag.FlagSet) func(Common, []string) error {
-			connect := clientFlags(flags)
-			expect := flags.Uint64("expect", 0, "version to delete; 0 means the one in force")
-			return func(common Common, args []string) error {
-				c, err := connect(common)
-				if err != nil {
-					return err
-				}
-				ref, err := parseRef(args)
-				if err != nil {
-					return err
-				}
-				query := url.Values{}
-				if *expect > 0 {
-					query.Set("Expect", strconv.FormatUint(*expect, 10))
-				}
-				var answer versionAnswer
-				if err := c.call(http.MethodDelete, resourcePath(string(ref.Kind), ref.Name), query, nil, &answer); err != nil {
-					return err
-				}
-				return c.print(answer, []string{"RESOURCE", "ACTION", "VERSION"}, [][]string{{ref.String(), "deleted", fmt.Sprint(answer.Version)}})
-			}
-		},
-	}
-}
