Never answer a call that lost its claim and may run again with nothing

Cause: found by reading: when another VM's claim won and was then recorded as not run, the loser learned that the operation may run again, wrote no answer and returned, which net/http turns into an empty 200. Change: the claim is tried again with the next attempt, at most three times, and then refused as not run.

--- a/caller/operation.go
+++ b/caller/operation.go
@@ -18,6 +18,10 @@
 const (
 	headerIdempotencyKey = "Idempotency-Key"
 	maxIdempotencyKey    = 128
+	// maxBegins bounds how often one call claims its operation while others claim it first.
+	maxBegins = 3
+	// kindBegunBefore is the kind of the refusal when another call claimed the operation first.
+	kindBegunBefore = "begun_before"
 )
 
 // forwardOnce serves a call that must not run twice. The operation is recorded in the log before the
@@ -29,14 +33,26 @@
 			"this call must not run twice and needs an Idempotency-Key of 1 to 128 letters, digits, '-', '_', '.' and ':'")
 	}
 	id := r.account.Name + "/" + r.route.Name + "/" + key
-	begin := catalog.Begin{Operation: id, Attempt: 1, Writer: s.writer(), Route: r.route.Name, Account: r.account.Name, RequestHash: hashRequest(r)}
-	if op, exists := s.control.Snapshot().State.Operation(id); exists {
-		next, refusal := s.repeat(w, r, begin, op)
-		if next == nil {
+	first := catalog.Begin{Operation: id, Attempt: 1, Writer: s.writer(), Route: r.route.Name, Account: r.account.Name, RequestHash: hashRequest(r)}
+	for range maxBegins {
+		begin := first
+		if op, exists := s.control.Snapshot().State.Operation(id); exists {
+			attempt, refusal := s.repeat(w, r, first, op)
+			if attempt == 0 {
+				return refusal
+			}
+			begin.Attempt = attempt
+		}
+		refusal := s.tryOnce(w, r, begin)
+		if refusal == nil || refusal.Kind != kindBegunBefore {
 			return refusal
 		}
-		begin = *next
 	}
+	return refuse("begin", http.StatusServiceUnavailable, "unavailable", "other calls of the same operation were begun first").withRetryAfter(time.Second)
+}
+
+// tryOnce runs one attempt of an operation and writes the answer.
+func (s *Server) tryOnce(w http.ResponseWriter, r *request, begin catalog.Begin) *Error {
 	reservation, refusal := s.reserveCall(r)
 	if refusal != nil {
 		return refusal
@@ -44,9 +60,6 @@
 	answer, refusal := s.runOnce(r, begin)
 	if refusal != nil {
 		reservation.Close(spent(refusal, r))
-		if op, exists := s.control.Snapshot().State.Operation(id); exists && refusal.Kind == "begun_before" {
-			_, refusal = s.repeat(w, r, begin, op)
-		}
 		return refusal
 	}
 	reservation.Close(float64(r.route.CostTokens))
@@ -74,11 +87,11 @@
 	return catalog.Holder{VM: self.VM, Incarnation: self.Incarnation}
 }
 
-// repeat answers a call whose operation is known. It returns the next attempt if the operation may
-// run again, and writes the answer or returns a refusal otherwise.
-func (s *Server) repeat(w http.ResponseWriter, r *request, begin catalog.Begin, op catalog.Operation) (*catalog.Begin, *Error) {
+// repeat answers a call whose operation is known. It returns the number of the next attempt if the
+// operation may run again; otherwise it returns 0, and has written the answer or returns a refusal.
+func (s *Server) repeat(w http.ResponseWriter, r *request, begin catalog.Begin, op catalog.Operation) (int, *Error) {
 	if op.RequestHash != begin.RequestHash {
-		return nil, refuse("repeat", http.StatusUnprocessableEntity, "idempotency_key_reused", "the Idempotency-Key was used for another call")
+		return 0, refuse("repeat", http.StatusUnprocessableEntity, "idempotency_key_reused", "the Idempotency-Key was used for another call")
 	}
 	if op.Phase == catalog.PhaseBegun {
 		op = s.settle(r, op)
@@ -86,12 +99,11 @@
 	switch op.Phase {
 	case catalog.PhaseDone:
 		writeRecorded(w, op.Answer)
-		return nil, nil
+		return 0, nil
 	case catalog.PhaseNotRun:
-		begin.Attempt = op.Attempt + 1
-		return &begin, nil
+		return op.Attempt + 1, nil
 	}
-	return nil, inDoubt("repeat", "the call was begun before and may or may not have run; repeat it later to learn its outcome")
+	return 0, inDoubt("repeat", "the call was begun before and may or may not have run; repeat it later to learn its outcome")
 }
 
 func writeRecorded(w http.ResponseWriter, answer catalog.Answer) {
@@ -144,7 +156,7 @@
 	if err := s.control.Begin(ctx, begin); err != nil {
 		var controlErr *control.Error
 		if errors.As(err, &controlErr) && controlErr.Kind == control.ErrRejected {
-			return service.Answer{}, refuse("begin", http.StatusConflict, "begun_before", "the call was begun before")
+			return service.Answer{}, refuse("begin", http.StatusConflict, kindBegunBefore, "the call was begun before")
 		}
 		return service.Answer{}, fromControl("begin", err)
 	}
--- a/integration/operations_test.go
+++ b/integration/operations_test.go
@@ -75,6 +75,16 @@
 		c.put(c.vms[0], document("Upstream", "desk-0", `{"Pool": "desk", "Address": "`+freeAddr(t)+`"}`))
 		c.awaitInForce(c.vms...)
 		assert.Equal(t, "not_run", c.release(c.vms[0], key, "job-refused").refusal().Error.Run)
+		for round := range 10 {
+			var calls sync.WaitGroup
+			for n := range 9 {
+				calls.Go(func() {
+					a := c.release(c.vms[n%3], key, fmt.Sprint("job-refused-", round))
+					assert.NotEqual(t, http.StatusOK, a.status, "nothing can have run: %q", a.body)
+				})
+			}
+			calls.Wait()
+		}
 		c.put(c.vms[0], document("Upstream", "desk-0", `{"Pool": "desk", "Address": "`+c.deskAddr+`"}`))
 		c.eventually(10*time.Second, "the release is done", func() bool { return c.release(c.vms[1], key, "job-refused").status == http.StatusOK })
 		assertRuns(t, c, "job-refused", 1)
