Log a withdrawal at once and under the operator's name

Cause: found by reading: a peer that does not answer delayed the append of a withdrawal by 1.5 s, and one that was logged after an outage named the VM that ranked first in place of the operator. Change: the append goes out beside the messages to peers; the VM on which a key was withdrawn logs it itself and names the operator; a second withdrawal of a key changes nothing. Before: the new check of the audit trail cannot hold on the old code, which wrote the VM's name.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -244,6 +244,9 @@
 		change.Accepted, change.Reason = false, "the key cannot be decoded"
 		return s, rejected(entry.Offset, change.Reason), change
 	}
+	if key.Withdrawn {
+		return s, Verdict{Offset: entry.Offset, Accepted: true}, nil
+	}
 	doc, err := resource.Encode(ref.Kind, ref.Name, key.WithWithdrawn())
 	if err != nil {
 		change.Accepted, change.Reason = false, err.Error()
--- a/catalog/state_test.go
+++ b/catalog/state_test.go
@@ -93,6 +93,15 @@
 	}
 }
 
+func TestWithdrawalsAreIdempotent(t *testing.T) {
+	l := newTape()
+	l.add(Record{Write: &Write{Document: keyDocument("k")}}, Record{ID: "w1", Withdraw: &Withdraw{Key: "k"}}, Record{ID: "w2", Withdraw: &Withdraw{Key: "k"}})
+	s := l.fold(t)
+	verdict, _ := s.Verdict("w2")
+	assert.True(t, verdict.Accepted)
+	assert.Equal(t, uint64(2), s.ConfigVersion, "the second changes nothing")
+}
+
 func TestOperationsInTheLog(t *testing.T) {
 	begin := func(id string, attempt int) Record {
 		return Record{ID: id, Begin: &Begin{Operation: "op", Attempt: attempt, RequestHash: "h"}}
--- a/control/withdraw.go
+++ b/control/withdraw.go
@@ -18,6 +18,8 @@
 // withdrawal is a key that is refused here although the log does not say so yet.
 type withdrawal struct {
 	triedAt time.Time
+	// actor is the operator who withdrew the key on this VM, or empty if a peer told of it.
+	actor string
 }
 
 // WithdrawResult says how far a withdrawal has come.
@@ -29,8 +31,8 @@
 	Untold []string
 }
 
-// WithdrawKey refuses a key on this VM at once, tells all peers directly, and then logs it. It works
-// while the log is down; the log then gets it when it is back.
+// WithdrawKey refuses a key on this VM at once, tells all peers directly and logs it. It works while the
+// log is down; the log then gets it when it is back.
 func (c *Controller) WithdrawKey(ctx context.Context, key, actor string) (WithdrawResult, error) {
 	ref := resource.Ref{Kind: resource.KindKey, Name: key}
 	if _, exists := c.Snapshot().State.Document(ref); !exists {
@@ -38,15 +40,23 @@
 	}
 	links := ask(c, func() map[string]*peerLink {
 		c.addWithdrawals([]string{key})
+		if w, pending := c.withdrawn[key]; pending {
+			w.actor = actor
+			c.withdrawn[key] = w
+		}
 		links := map[string]*peerLink{}
 		for vm, link := range c.links {
 			links[vm] = link
 		}
 		return links
 	})
+	logged := make(chan bool, 1)
+	go func() {
+		_, err := c.Append(ctx, catalog.Record{Actor: actor, Withdraw: &catalog.Withdraw{Key: key}})
+		logged <- err == nil
+	}()
 	result := c.tellWithdrawn(ctx, key, links)
-	_, err := c.Append(ctx, catalog.Record{Actor: actor, Withdraw: &catalog.Withdraw{Key: key}})
-	result.Logged = err == nil
+	result.Logged = <-logged
 	return result, nil
 }
 
@@ -100,8 +110,8 @@
 	return err == nil && ok && key.Withdrawn
 }
 
-// logWithdrawals appends the withdrawals that are not in the log, from the VM that ranks first, and
-// forgets those that are.
+// logWithdrawals appends the withdrawals that are not in the log, from the VM on which they were made and
+// from the one that ranks first, and forgets those that are. To log one twice is harmless.
 func (c *Controller) logWithdrawals(now time.Time) {
 	state, _ := c.replay.State()
 	for key, w := range c.withdrawn {
@@ -109,10 +119,12 @@
 			delete(c.withdrawn, key)
 			continue
 		}
-		if now.Sub(w.triedAt) < withdrawRetry || c.roster.First("withdraw/"+key, now) != c.self.VM {
+		mine := w.actor != "" || c.roster.First("withdraw/"+key, now) == c.self.VM
+		if now.Sub(w.triedAt) < withdrawRetry || !mine {
 			continue
 		}
-		c.withdrawn[key] = withdrawal{triedAt: now}
-		c.appendLater(catalog.Record{Withdraw: &catalog.Withdraw{Key: key}}, nil)
+		w.triedAt = now
+		c.withdrawn[key] = w
+		c.appendLater(catalog.Record{Actor: w.actor, Withdraw: &catalog.Withdraw{Key: key}}, nil)
 	}
 }
--- a/integration/keys_test.go
+++ b/integration/keys_test.go
@@ -64,6 +64,9 @@
 		assertRefusedEverywhere(t, c, key, c.vms, began)
 		c.setLogDown(false)
 		c.eventually(10*time.Second, "the log has the withdrawal", func() bool { return isWithdrawn(c, "k-down") })
+		c.eventually(10*time.Second, "the audit trail names the operator", func() bool {
+			return strings.Contains(c.operate(c.vms[2], http.MethodGet, "/v1/audit?Kind=Key&Name=k-down", "").body, `"Actor":"tester","VM":"vm-0","Ref":{"Kind":"Key","Name":"k-down"},"Action":"Withdraw"`)
+		})
 	})
 	t.Run("a VM cut off from the log and its peers", func(t *testing.T) {
 		key := c.newKey("k-cut", "schools")
