Say for each resource where it is in force, and measure by account

Cause: the status told only of the configuration as a whole, and the requests that met both targets were counted by route only, so the worst-served account could not be seen. Change: GET of a resource and cassiabridge get KIND/NAME list the VMs that have its version in force; requests and good requests are counted by account too.

--- a/app/get.go
+++ b/app/get.go
@@ -4,6 +4,7 @@
 	"flag"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -15,6 +16,15 @@
 	Resources []resource.Document
 }
 
+// resourceAnswer is a resource with where its version is in force.
+type resourceAnswer struct {
+	resource.Document
+	Status struct {
+		InForceOn []string
+		Behind    []string
+	}
+}
+
 func getCommand() command {
 	return command{
 		name: "get", synopsis: "Show resources.", args: "[KIND | KIND/NAME]",
@@ -33,11 +43,12 @@
 func (c *client) get(what string) error {
 	kind, name, single := strings.Cut(what, "/")
 	if single {
-		var doc resource.Document
-		if err := c.call(http.MethodGet, resourcePath(kind, name), nil, nil, &doc); err != nil {
+		var found resourceAnswer
+		if err := c.call(http.MethodGet, resourcePath(kind, name), nil, nil, &found); err != nil {
 			return err
 		}
-		return c.print(doc, resourceHeader, [][]string{resourceRow(doc)})
+		row := append(resourceRow(found.Document), strings.Join(found.Status.InForceOn, ","), strings.Join(found.Status.Behind, ","))
+		return c.print(found, append(slices.Clone(resourceHeader), "IN FORCE ON", "BEHIND"), [][]string{row})
 	}
 	list, err := c.list(kind)
 	if err != nil {
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -157,7 +157,7 @@
 	inTime := first <= time.Duration(r.route.FirstTokenMillis)*time.Millisecond
 	smooth := gap <= time.Duration(r.route.TokenGapMillis)*time.Millisecond
 	if inTime && smooth && g.finished {
-		s.metrics.GoodRequests.WithLabelValues(r.route.Name).Inc()
+		s.metrics.GoodRequests.WithLabelValues(r.route.Name, r.account.Name).Inc()
 	}
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -118,7 +118,7 @@
 		s.log.Info("request-refused", zap.String("Route", r.route.Name), zap.String("Account", r.account.Name),
 			zap.String("Kind", refusal.Kind), zap.Int("Status", refusal.Status), zap.String("Run", string(refusal.Run)))
 	}
-	s.metrics.Requests.WithLabelValues(r.route.Name, outcome).Inc()
+	s.metrics.Requests.WithLabelValues(r.route.Name, r.account.Name, outcome).Inc()
 }
 
 // admit checks that the request may use its route, and binds its life to that of its key. The
--- a/integration/command_test.go
+++ b/integration/command_test.go
@@ -43,6 +43,7 @@
 		{name: "put", args: []string{"put", "-f", file}, contains: "created"},
 		{name: "put again", args: []string{"put", "-f", file}, contains: "unchanged"},
 		{name: "get", args: []string{"get", "-output", "json", "ClientAccount/declared"}, contains: `"TokensPerSecond": 5`},
+		{name: "get says where it is in force", args: []string{"get", "ClientAccount/declared"}, contains: "IN FORCE ON"},
 		{name: "watch", args: []string{"watch", "-count", "1", "ClientAccount"}, contains: "ClientAccount/schools"},
 		{name: "audit", args: []string{"audit", "ClientAccount/declared"}, contains: "tester"},
 		{name: "key", args: []string{"key", "-account", "declared", "k"}, contains: "cb_"},
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -12,7 +12,7 @@
 type Metrics struct {
 	Registry *prometheus.Registry
 
-	// Requests counts finished requests by route and outcome.
+	// Requests counts finished requests by route, account and outcome.
 	Requests *prometheus.CounterVec
 	// Refusals counts refused requests by account and reason.
 	Refusals *prometheus.CounterVec
@@ -24,7 +24,7 @@
 	// FirstToken and TokenGap are in seconds, by route.
 	FirstToken *prometheus.HistogramVec
 	TokenGap   *prometheus.HistogramVec
-	// GoodTokens counts requests that met both latency targets, by route.
+	// GoodRequests counts requests that met both latency targets, by route and account.
 	GoodRequests *prometheus.CounterVec
 	// Queued and Active count the requests of the lanes that this VM dispatches.
 	Queued *prometheus.GaugeVec
@@ -47,14 +47,14 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m := &Metrics{
 		Registry:            registry,
-		Requests:            counters("requests_total", "Finished requests.", "route", "outcome"),
+		Requests:            counters("requests_total", "Finished requests.", "route", "account", "outcome"),
 		Refusals:            counters("refusals_total", "Refused requests.", "account", "reason"),
 		AdmittedTokens:      counters("admitted_tokens_total", "Tokens taken from the rate of an account.", "account"),
 		PrefillTokens:       prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "prefill_tokens_total", Help: "Prompt tokens computed."}),
 		WastedPrefillTokens: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "wasted_prefill_tokens_total", Help: "Prompt tokens computed for nothing."}),
 		FirstToken:          histograms("first_token_seconds", "Time to the first token.", prometheus.ExponentialBuckets(0.02, 1.6, 14)),
 		TokenGap:            histograms("token_gap_seconds", "Mean time between tokens of a request.", prometheus.ExponentialBuckets(0.002, 1.5, 14)),
-		GoodRequests:        counters("good_requests_total", "Requests that met both latency targets.", "route"),
+		GoodRequests:        counters("good_requests_total", "Requests that met both latency targets.", "route", "account"),
 		Queued:              gauges("queued_requests", "Requests that wait in a lane dispatched here.", "lane"),
 		Active:              gauges("active_requests", "Requests that hold an engine in a lane dispatched here.", "lane"),
 		Loans:               counters("loans_total", "Loans of account tokens.", "side"),
--- a/operator/resources.go
+++ b/operator/resources.go
@@ -18,6 +18,17 @@
 	Resources []resource.Document
 }
 
+// resourceAnswer is a resource with where its version is in force.
+type resourceAnswer struct {
+	resource.Document
+	Status resourceStatus
+}
+
+type resourceStatus struct {
+	InForceOn []string
+	Behind    []string
+}
+
 type writeAnswer struct {
 	Version uint64
 }
@@ -41,7 +52,9 @@
 	if !exists {
 		return notFound("get", ref.String())
 	}
-	_ = ctx.JSON(doc)
+	answer := resourceAnswer{Document: doc}
+	answer.Status.InForceOn, answer.Status.Behind = inForce(s.control.Peers(), doc.Version)
+	_ = ctx.JSON(answer)
 	return nil
 }
 
--- a/operator/status.go
+++ b/operator/status.go
@@ -25,19 +25,26 @@
 	InDoubt   int
 }
 
+// inForce tells the VMs that are known to have folded a version from the others.
+func inForce(vms []control.PeerStatus, version uint64) (on, behind []string) {
+	on, behind = []string{}, []string{}
+	for _, vm := range vms {
+		if vm.Next > version {
+			on = append(on, vm.VM)
+		} else {
+			behind = append(behind, vm.VM)
+		}
+	}
+	return on, behind
+}
+
 // status answers with what this VM knows of itself and of the others.
 func (s *Server) status(ctx iris.Context) *Error {
 	snapshot, self := s.control.Snapshot(), s.control.Self()
 	answer := statusAnswer{VM: self.VM, Incarnation: self.Incarnation, Ready: snapshot.Ready, Fresh: snapshot.Fresh(s.control.Now()),
 		Draining: snapshot.Draining, ConfigVersion: snapshot.State.ConfigVersion, SnapshotCovers: snapshot.State.SnapshotCovers, VMs: s.control.Peers(), Slots: map[string]int{},
-		InForceOn: []string{}, Behind: []string{}, InDoubt: len(snapshot.State.Operations(catalog.PhaseBegun))}
-	for _, vm := range answer.VMs {
-		if vm.Next > answer.ConfigVersion {
-			answer.InForceOn = append(answer.InForceOn, vm.VM)
-		} else {
-			answer.Behind = append(answer.Behind, vm.VM)
-		}
-	}
+		InDoubt: len(snapshot.State.Operations(catalog.PhaseBegun))}
+	answer.InForceOn, answer.Behind = inForce(answer.VMs, answer.ConfigVersion)
 	for _, holder := range snapshot.State.Slots() {
 		answer.Slots[holder.VM]++
 	}
