Share what the HTTP adapters know about unsent requests

Cause: three adapters judged by themselves whether anything of a request had left, and two kept net/http from sending it again in ways of their own. Change: package transport holds both.

--- a/engine/client.go
+++ b/engine/client.go
@@ -4,19 +4,16 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"time"
+
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 const (
-	dialTimeout      = time.Second
 	idleConnections  = 64
 	maxAnswerBytes   = 16 << 20
 	statusEvicted    = http.StatusGone
@@ -31,23 +28,19 @@
 
 // NewClient returns a client, and a function that closes its connections.
 func NewClient() (*Client, func()) {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		DisableCompression:  true,
-	}
-	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	connections := transport.New(idleConnections)
+	return &Client{http: &http.Client{Transport: connections}}, connections.CloseIdleConnections
 }
 
 // send posts a JSON body, or gets when body is nil, and returns the open answer.
 func (c *Client) send(ctx context.Context, op, url string, body any) (*http.Response, error) {
-	method, payload := http.MethodGet, io.Reader(http.NoBody)
+	method, payload := http.MethodGet, transport.Body(nil)
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
 			return nil, &Error{Op: op, Kind: ErrUnsent, Err: err}
 		}
-		method, payload = http.MethodPost, io.NopCloser(bytes.NewReader(data))
+		method, payload = http.MethodPost, transport.Body(data)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, url, payload)
 	if err != nil {
@@ -65,8 +58,7 @@
 }
 
 func kindOf(err error) ErrorKind {
-	var netErr *net.OpError
-	if errors.As(err, &netErr) && netErr.Op == "dial" {
+	if transport.Unsent(err) {
 		return ErrUnsent
 	}
 	return ErrBroken
--- a/service/client.go
+++ b/service/client.go
@@ -1,20 +1,18 @@
 package service
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/cassiabridge/cassiabridge/resource"
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 const (
-	dialTimeout     = time.Second
 	idleConnections = 32
 	// HeaderOperation names the operation of a call that must not run twice.
 	HeaderOperation = "Operation-Id"
@@ -50,9 +48,8 @@
 
 // NewClient returns a client for answers up to maxBytes, and a function that closes its connections.
 func NewClient(maxBytes int) (*Client, func()) {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	shared := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
-	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	shared, fresh := transport.New(idleConnections), transport.New(0)
+	fresh.DisableKeepAlives = true
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	c := &Client{
 		shared:   &http.Client{Transport: shared, CheckRedirect: noRedirect},
@@ -100,14 +97,11 @@
 
 func (c *Client) send(ctx context.Context, upstream resource.Upstream, call Call) (Answer, error) {
 	op := call.Method + " " + upstream.Name
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+upstream.Address+call.Target, io.NopCloser(bytes.NewReader(call.Body)))
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+upstream.Address+call.Target, transport.Body(call.Body))
 	if err != nil {
 		return Answer{}, &Error{Op: op, Kind: ErrUnsent, Err: err}
 	}
 	req.ContentLength = int64(len(call.Body))
-	if len(call.Body) == 0 {
-		req.Body = http.NoBody
-	}
 	req.Header = call.Header.Clone()
 	client := c.shared
 	if call.Operation != "" {
@@ -130,8 +124,7 @@
 }
 
 func kindOf(err error) ErrorKind {
-	var netErr *net.OpError
-	if errors.As(err, &netErr) && netErr.Op == "dial" {
+	if transport.Unsent(err) {
 		return ErrUnsent
 	}
 	return ErrInDoubt
