Carry the operator's name with a withdrawal; show a record before answering for it

Ruled out: letting only the first VM log it; it may have died. Change: messages and heartbeats carry the operator with the key; after a fold, slots and index are brought up to date and published before waiters are answered.

--- a/control/follow.go
+++ b/control/follow.go
@@ -86,13 +86,15 @@
 		c.log.Info("resource-changed", zap.Stringer("Resource", change.Ref), zap.String("Action", change.Action),
 			zap.String("Actor", change.Actor), zap.Uint64("Version", change.Offset), zap.Bool("Accepted", change.Accepted))
 	}
-	c.answerWaiters(state)
+	// New accounts count the slots held before, since others may have spent from slots that came since.
+	c.fillNewAccounts(now, changes)
+	c.takeSlots(now, state)
 	if state.ConfigVersion != before.ConfigVersion {
-		c.fillNewAccounts(now, changes)
 		c.rebuildView(state)
 	}
-	c.takeSlots(now, state)
 	c.publish()
+	// Whoever is told that a record took effect must find it in the snapshot.
+	c.answerWaiters(state)
 }
 
 func (c *Controller) rebuildView(state catalog.State) {
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -115,8 +115,8 @@
 	state, whole := c.replay.State()
 	h := roster.Heartbeat{VM: c.self.VM, Incarnation: c.self.Incarnation, Next: state.Next, LogAge: c.roster.LogAge(c.now()),
 		Ready: whole && c.headRead, Draining: c.draining}
-	for key := range c.withdrawn {
-		h.Withdrawn = append(h.Withdrawn, key)
+	for key, w := range c.withdrawn {
+		h.Withdrawn = append(h.Withdrawn, roster.Withdrawal{Key: key, Actor: w.actor})
 	}
 	return h
 }
@@ -150,9 +150,9 @@
 			})
 		},
 		Settle: func(_ peer.Identity, s []peer.Settlement) { c.post(func() { c.settleLoans(s) }) },
-		Withdraw: func(keys []string, reply func()) {
+		Withdraw: func(withdrawn []roster.Withdrawal, reply func()) {
 			c.post(func() {
-				c.addWithdrawals(keys)
+				c.addWithdrawals(withdrawn)
 				go reply()
 			})
 		},
--- a/control/lanes.go
+++ b/control/lanes.go
@@ -21,10 +21,10 @@
 
 // lane is a pair of pools with the requests of this VM, and the dispatcher if this VM runs it.
 type lane struct {
-	name string
-	cfg  dispatch.Lane
-	pre  []dispatch.Engine
-	dec  []dispatch.Engine
+	name     string
+	cfg      dispatch.Lane
+	prefills []dispatch.Engine
+	decodes  []dispatch.Engine
 	// owner is the VM that runs the dispatcher, by this VM's roster.
 	owner string
 	jobs  map[string]*Job
@@ -85,9 +85,9 @@
 		Retain: time.Duration(pool.RetainMillis) * time.Millisecond, BytesPerToken: pool.KVBytesPerToken, LinkRate: pool.LinkBytesPerSecond,
 		TokenGap: time.Duration(route.TokenGapMillis) * time.Millisecond, MaxQueued: c.cfg.Limits.QueuedRequests,
 	}
-	l.pre, l.dec = c.enginesOf(route.PrefillPool), c.enginesOf(route.DecodePool)
+	l.prefills, l.decodes = c.enginesOf(route.PrefillPool), c.enginesOf(route.DecodePool)
 	if l.dispatcher != nil {
-		l.dispatcher.Configure(l.cfg, l.pre, l.dec)
+		l.dispatcher.Configure(l.cfg, l.prefills, l.decodes)
 		c.startReports(l)
 	}
 }
@@ -132,7 +132,7 @@
 		return
 	}
 	l.dispatcher = dispatch.New(l.cfg)
-	l.dispatcher.Configure(l.cfg, l.pre, l.dec)
+	l.dispatcher.Configure(l.cfg, l.prefills, l.decodes)
 	l.warmAt = now
 	if len(c.roster.Alive(now)) > 1 {
 		l.warmAt = now.Add(warmUp)
--- a/control/reports.go
+++ b/control/reports.go
@@ -16,7 +16,7 @@
 // startReports polls the engines of a lane that this VM dispatches.
 func (c *Controller) startReports(l *lane) {
 	wanted := map[string]string{}
-	for _, e := range append(append([]dispatch.Engine{}, l.pre...), l.dec...) {
+	for _, e := range append(append([]dispatch.Engine{}, l.prefills...), l.decodes...) {
 		wanted[e.Name] = e.Addr
 	}
 	for name, stop := range l.reports {
--- a/control/withdraw.go
+++ b/control/withdraw.go
@@ -10,6 +10,7 @@
 
 	"github.com/cassiabridge/cassiabridge/catalog"
 	"github.com/cassiabridge/cassiabridge/resource"
+	"github.com/cassiabridge/cassiabridge/roster"
 )
 
 // withdrawRetry is the period at which a withdrawal that is not in the log is appended again.
@@ -18,7 +19,7 @@
 // withdrawal is a key that is refused here although the log does not say so yet.
 type withdrawal struct {
 	triedAt time.Time
-	// actor is the operator who withdrew the key on this VM, or empty if a peer told of it.
+	// actor is the operator who withdrew the key.
 	actor string
 }
 
@@ -38,12 +39,9 @@
 	if _, exists := c.Snapshot().State.Document(ref); !exists {
 		return WithdrawResult{}, &Error{Op: "withdraw " + key, Kind: ErrRejected, Err: errors.New("the key does not exist")}
 	}
+	withdrawn := roster.Withdrawal{Key: key, Actor: actor}
 	links := ask(c, func() map[string]*peerLink {
-		c.addWithdrawals([]string{key})
-		if w, pending := c.withdrawn[key]; pending {
-			w.actor = actor
-			c.withdrawn[key] = w
-		}
+		c.addWithdrawals([]roster.Withdrawal{withdrawn})
 		links := map[string]*peerLink{}
 		for vm, link := range c.links {
 			links[vm] = link
@@ -55,12 +53,12 @@
 		_, err := c.Append(ctx, catalog.Record{Actor: actor, Withdraw: &catalog.Withdraw{Key: key}})
 		logged <- err == nil
 	}()
-	result := c.tellWithdrawn(ctx, key, links)
+	result := c.tellWithdrawn(ctx, withdrawn, links)
 	result.Logged = <-logged
 	return result, nil
 }
 
-func (c *Controller) tellWithdrawn(ctx context.Context, key string, links map[string]*peerLink) WithdrawResult {
+func (c *Controller) tellWithdrawn(ctx context.Context, withdrawn roster.Withdrawal, links map[string]*peerLink) WithdrawResult {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timing.PeerDead())
 	defer cancel()
 	result := WithdrawResult{Told: []string{c.self.VM}}
@@ -68,7 +66,7 @@
 	var calls sync.WaitGroup
 	for vm, link := range links {
 		calls.Go(func() {
-			err := link.Withdraw(ctx, []string{key})
+			err := link.Withdraw(ctx, []roster.Withdrawal{withdrawn})
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -83,14 +81,15 @@
 }
 
 // addWithdrawals refuses keys from now on.
-func (c *Controller) addWithdrawals(keys []string) {
+func (c *Controller) addWithdrawals(withdrawn []roster.Withdrawal) {
 	state, _ := c.replay.State()
 	added := false
-	for _, key := range keys {
+	for _, told := range withdrawn {
+		key := told.Key
 		if _, known := c.withdrawn[key]; known || isLoggedWithdrawal(state, key) {
 			continue
 		}
-		c.withdrawn[key] = withdrawal{triedAt: c.now()}
+		c.withdrawn[key] = withdrawal{triedAt: c.now(), actor: told.Actor}
 		c.log.Info("key-withdrawn", zap.String("Key", key))
 		added = true
 	}
@@ -110,8 +109,8 @@
 	return err == nil && ok && key.Withdrawn
 }
 
-// logWithdrawals appends the withdrawals that are not in the log, from the VM on which they were made and
-// from the one that ranks first, and forgets those that are. To log one twice is harmless.
+// logWithdrawals appends the withdrawals that are not in the log, from the VM that ranks first, and
+// forgets those that are.
 func (c *Controller) logWithdrawals(now time.Time) {
 	state, _ := c.replay.State()
 	for key, w := range c.withdrawn {
@@ -119,8 +118,7 @@
 			delete(c.withdrawn, key)
 			continue
 		}
-		mine := w.actor != "" || c.roster.First("withdraw/"+key, now) == c.self.VM
-		if now.Sub(w.triedAt) < withdrawRetry || !mine {
+		if now.Sub(w.triedAt) < withdrawRetry || c.roster.First("withdraw/"+key, now) != c.self.VM {
 			continue
 		}
 		w.triedAt = now
--- a/peer/inbox.go
+++ b/peer/inbox.go
@@ -14,7 +14,7 @@
 	State     func(reply func(data []byte, err error))
 	Borrow    func(from Identity, r BorrowRequest, reply func(amount float64))
 	Settle    func(from Identity, s []Settlement)
-	Withdraw  func(keys []string, reply func())
+	Withdraw  func(withdrawn []roster.Withdrawal, reply func())
 	Jobs      func(from Identity, u JobUpdate)
 	Decide    func(from Identity, lane string, decisions []dispatch.Decision)
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -189,8 +189,8 @@
 }
 
 // Withdraw tells the peer that keys are withdrawn.
-func (l *Link) Withdraw(ctx context.Context, keys []string) error {
-	return l.call(ctx, methodWithdraw, withdrawMessage{Keys: keys}, &struct{}{})
+func (l *Link) Withdraw(ctx context.Context, withdrawn []roster.Withdrawal) error {
+	return l.call(ctx, methodWithdraw, withdrawMessage{Withdrawn: withdrawn}, &struct{}{})
 }
 
 // Settle ends loans. It may be lost; the lender then ends the loan when its term is over.
--- a/peer/server.go
+++ b/peer/server.go
@@ -152,7 +152,7 @@
 		}
 	case methodWithdraw:
 		if m, ok := params[withdrawMessage](call); ok {
-			inbox.Withdraw(m.Keys, func() { call.reply(struct{}{}) })
+			inbox.Withdraw(m.Withdrawn, func() { call.reply(struct{}{}) })
 		}
 	case methodJobs:
 		if m, ok := params[jobsMessage](call); ok {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -34,8 +34,8 @@
 type heartbeatMessage struct {
 	Next            uint64
 	LogAgeMillis    int64
-	Ready, Draining bool     `json:",omitempty"`
-	Withdrawn       []string `json:",omitempty"`
+	Ready, Draining bool                `json:",omitempty"`
+	Withdrawn       []roster.Withdrawal `json:",omitempty"`
 }
 
 func encodeHeartbeat(h roster.Heartbeat) heartbeatMessage {
@@ -57,7 +57,7 @@
 
 type borrowAnswer struct{ Amount float64 }
 
-type withdrawMessage struct{ Keys []string }
+type withdrawMessage struct{ Withdrawn []roster.Withdrawal }
 
 type settleMessage struct{ Settlements []Settlement }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -33,8 +33,14 @@
 	Ready bool
 	// Draining says that the VM is shutting down and takes no new jobs.
 	Draining bool
-	// Withdrawn lists keys whose withdrawal is not in the log yet.
-	Withdrawn []string
+	// Withdrawn lists the withdrawals that are not in the log yet.
+	Withdrawn []Withdrawal
+}
+
+// Withdrawal is a key that must be refused, and the operator who withdrew it.
+type Withdrawal struct {
+	Key   string
+	Actor string
 }
 
 type peer struct {
