--- a/integration/keys_test.go
+++ b/integration/keys_test.go
@@ -73,6 +73,8 @@
 	t.Run("a VM cut off from the log and its peers", func(t *testing.T) {
 		key := c.newKey("k-cut", "schools")
 		c.vms[2].logDown.Store(true)
+		// A read of the log that waits already would still bring the withdrawal.
+		time.Sleep(700 * time.Millisecond)
 		for _, v := range c.vms {
 			v.relay.cut.Store(true)
 		}
