Remove what nothing calls

Cause: read over the whole change: a record's ID was carried to the appender and never read, and two methods of the token bucket and one of upstreams had no caller. Change: they are gone.

--- a/control/append.go
+++ b/control/append.go
@@ -16,7 +16,6 @@
 const maxGroup = 256
 
 type pendingAppend struct {
-	id   string
 	data []byte
 	// failed is told when the record is certainly not in the log. It may be nil.
 	failed chan<- error
@@ -36,7 +35,7 @@
 	answer := make(chan catalog.Verdict, 1)
 	failed := make(chan error, 1)
 	c.post(func() { c.waiters[record.ID] = func(v catalog.Verdict) { answer <- v } })
-	c.queueAppend(record.ID, data, failed)
+	c.queueAppend(data, failed)
 	select {
 	case verdict := <-answer:
 		if !verdict.Accepted {
@@ -78,13 +77,13 @@
 	if settled != nil {
 		c.waiters[record.ID] = settled
 	}
-	c.queueAppend(record.ID, data, nil)
+	c.queueAppend(data, nil)
 }
 
 // queueAppend hands a record to the appender. When its queue is full the record is not sent.
-func (c *Controller) queueAppend(id string, data []byte, failed chan<- error) {
+func (c *Controller) queueAppend(data []byte, failed chan<- error) {
 	select {
-	case c.appends <- pendingAppend{id: id, data: data, failed: failed}:
+	case c.appends <- pendingAppend{data: data, failed: failed}:
 	default:
 		if failed != nil {
 			failed <- errors.New("too many appends wait")
--- a/resource/upstream.go
+++ b/resource/upstream.go
@@ -24,12 +24,6 @@
 
 const defaultPlaces = 20
 
-// WithLeaving returns the upstream as leaving.
-func (u Upstream) WithLeaving() Upstream {
-	u.Leaving = true
-	return u
-}
-
 func (u Upstream) named(name string) Upstream {
 	u.Name = name
 	if u.Places == 0 {
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -100,9 +100,6 @@
 	return b
 }
 
-// Terms returns the bucket's part of the quantity.
-func (b *Bucket) Terms() Terms { return b.terms }
-
 func (b *Bucket) lentTotal() float64 {
 	total := 0.0
 	for _, l := range b.lent {
@@ -148,12 +145,6 @@
 	return total
 }
 
-// Own returns how many tokens the bucket holds that were not borrowed.
-func (b *Bucket) Own(now time.Time) float64 {
-	b.refill(now)
-	return b.level
-}
-
 // Take reserves n tokens, or returns false and reserves nothing. Borrowed tokens go first.
 func (b *Bucket) Take(now time.Time, n float64) (Reservation, bool) {
 	if b.Available(now) < n {
