Serve routes by host and path from a platform's metadata store

Cause: the product knew its own log, list and completion calls only; the users' platform keeps declarations, replicas and callers of another form. Change: packages exchange, routing, quota, placement, follow, gateway, platform; beacons between VMs; the own log client is now package ledger.

--- a/app/serve.go
+++ b/app/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -28,29 +29,49 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	cancelGrace   = 5 * time.Second
+	// envSettings names the settings file if the command line does not.
+	envSettings = "CASSIABRIDGE_SETTINGS"
 )
 
 func serveCommand() command {
 	return command{
-		name: "serve", synopsis: "Run the router on this VM.", args: "SETTINGS",
+		name: "serve", synopsis: "Run the router on this VM.", args: "[SETTINGS]",
 		examples: []string{"cassiabridge serve settings.jsonc"},
 		setup: func(*flag.FlagSet) func(Common, []string) error {
 			return func(common Common, args []string) error {
-				if len(args) != 1 {
-					return usageError("serve takes one settings file")
+				path, err := settingsPath(args)
+				if err != nil {
+					return err
 				}
-				cfg, err := settings.Load(args[0])
+				cfg, err := settings.Load(path)
 				if err != nil {
 					return err
 				}
 				ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 				defer stop()
-				return Serve(ctx, cfg, newLogger(common.Stderr, cfg))
+				if cfg.Store.Address == "" {
+					return Serve(ctx, cfg, newLogger(common.Stderr, cfg))
+				}
+				log, level, closeLog := newTrafficLogger(common.Stdout, cfg)
+				defer closeLog()
+				return ServeStore(ctx, cfg, log, level, func() (settings.Settings, error) { return settings.Load(path) })
 			}
 		},
 	}
 }
 
+// settingsPath returns the settings file that the command line names, or else the environment.
+func settingsPath(args []string) (string, error) {
+	path := os.Getenv(envSettings)
+	switch {
+	case len(args) > 1, len(args) == 0 && path == "":
+		return "", usageError("serve takes one settings file, or %s names it", envSettings)
+	case len(args) == 1:
+		path = args[0]
+	}
+	return path, nil
+}
+
 // Serve runs the router until ctx is done, and then shuts down without cutting a request.
 func Serve(ctx context.Context, cfg settings.Settings, log *zap.Logger) error {
 	self := peer.Identity{VM: cfg.VM, Incarnation: uuid.NewString()[:8]}
--- a/control/append.go
+++ b/control/append.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cassiabridge/cassiabridge/catalog"
-	"github.com/cassiabridge/cassiabridge/platform"
+	"github.com/cassiabridge/cassiabridge/ledger"
 )
 
 // maxGroup bounds how many records one append carries.
@@ -125,13 +125,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, c.cfg.Timing.Append())
 	defer cancel()
-	_, err := c.platform.Append(callCtx, records)
+	_, err := c.ledger.Append(callCtx, records)
 	if err == nil {
 		c.metrics.Appends.WithLabelValues("ok").Inc()
 		return
 	}
-	var platformErr *platform.Error
-	known := errors.As(err, &platformErr) && platformErr.Kind != platform.ErrUnknown
+	var platformErr *ledger.Error
+	known := errors.As(err, &platformErr) && platformErr.Kind != ledger.ErrUnknown
 	if !known {
 		c.metrics.Appends.WithLabelValues("unknown").Inc()
 		return
--- a/control/controller.go
+++ b/control/controller.go
@@ -15,9 +15,9 @@
 
 	"github.com/cassiabridge/cassiabridge/catalog"
 	"github.com/cassiabridge/cassiabridge/engine"
+	"github.com/cassiabridge/cassiabridge/ledger"
 	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/peer"
-	"github.com/cassiabridge/cassiabridge/platform"
 	"github.com/cassiabridge/cassiabridge/roster"
 	"github.com/cassiabridge/cassiabridge/settings"
 )
@@ -49,15 +49,15 @@
 
 // Controller is the control state of one VM.
 type Controller struct {
-	cfg      settings.Settings
-	self     peer.Identity
-	log      *zap.Logger
-	metrics  *metrics.Metrics
-	platform *platform.Log
-	list     *platform.List
-	engines  *engine.Client
-	cancels  *engine.Canceller
-	now      func() time.Time
+	cfg     settings.Settings
+	self    peer.Identity
+	log     *zap.Logger
+	metrics *metrics.Metrics
+	ledger  *ledger.Log
+	list    *ledger.List
+	engines *engine.Client
+	cancels *engine.Canceller
+	now     func() time.Time
 
 	events   chan func()
 	appends  chan pendingAppend
@@ -123,8 +123,8 @@
 		return nil, nil, err
 	}
 	var closeLog, closeList func()
-	c.platform, closeLog = platform.NewLog(cfg.Platform.Log, cfg.Platform.Stream)
-	c.list, closeList = platform.NewList(cfg.Platform.List)
+	c.ledger, closeLog = ledger.NewLog(cfg.Platform.Log, cfg.Platform.Stream)
+	c.list, closeList = ledger.NewList(cfg.Platform.List)
 	ctx, cancel := context.WithCancel(context.Background())
 	var workers sync.WaitGroup
 	for _, work := range []func(context.Context){c.run, c.followLog, c.sendAppends, c.readList} {
--- a/control/follow.go
+++ b/control/follow.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/catalog"
-	"github.com/cassiabridge/cassiabridge/platform"
+	"github.com/cassiabridge/cassiabridge/ledger"
 	"github.com/cassiabridge/cassiabridge/resource"
 )
 
@@ -29,7 +29,7 @@
 		from := ask(c, c.replay.Next)
 		sentAt := c.now()
 		readCtx, cancel := context.WithTimeout(ctx, c.cfg.Timing.LogWait()+readSlack)
-		batch, err := c.platform.Read(readCtx, from, readLimit, c.cfg.Timing.LogWait())
+		batch, err := c.ledger.Read(readCtx, from, readLimit, c.cfg.Timing.LogWait())
 		cancel()
 		if err != nil {
 			c.adoptPeerState(ctx)
@@ -55,7 +55,7 @@
 
 // takeBatch folds what a read returned. The read counts as a read of the head when it left nothing
 // behind.
-func (c *Controller) takeBatch(from uint64, sentAt time.Time, batch platform.Batch) {
+func (c *Controller) takeBatch(from uint64, sentAt time.Time, batch ledger.Batch) {
 	if batch.Head < from {
 		c.log.Error("log-went-back", zap.Uint64("Head", batch.Head), zap.Uint64("Next", from))
 		return
--- a/control/snapshots.go
+++ b/control/snapshots.go
@@ -6,7 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/catalog"
-	"github.com/cassiabridge/cassiabridge/platform"
+	"github.com/cassiabridge/cassiabridge/ledger"
 )
 
 const (
@@ -28,7 +28,7 @@
 	writtenAt time.Time
 }
 
-func (c *Controller) noteSnapshotAge(batch platform.Batch) {
+func (c *Controller) noteSnapshotAge(batch ledger.Batch) {
 	state, _ := c.replay.State()
 	c.snapshots.first = batch.First
 	if len(batch.Entries) == 0 {
--- /dev/null
+++ b/gateway/budget.go
@@ -0,0 +1,67 @@
+package gateway
+
+import "time"
+
+const (
+	defaultRetryRatio  = 0.2
+	defaultRetrySlack  = 5.0
+	defaultRetryWindow = 10 * time.Second
+	// ratioShare and slackShare are the parts of the budget that are used. The budget counts what arrives at
+	// upstreams in any window, and this VM counts by its own clock.
+	ratioShare = 0.8
+	slackShare = 0.8
+)
+
+// retryBudget bounds how many requests this VM sends to a pool more than once. All VMs share a budget; each uses
+// the share of its own requests, and an even part of the slack.
+type retryBudget struct {
+	ratio  float64
+	slack  float64
+	window time.Duration
+	vms    int
+	pools  map[string]*poolBudget
+}
+
+type poolBudget struct {
+	// level is the number of repeats that may be sent now.
+	level float64
+	last  time.Time
+}
+
+func newRetryBudget(ratio, slack float64, window time.Duration) *retryBudget {
+	return &retryBudget{ratio: ratio, slack: slack, window: window, vms: 1, pools: map[string]*poolBudget{}}
+}
+
+// setVMs says among how many VMs the slack is divided.
+func (b *retryBudget) setVMs(n int) { b.vms = max(1, n) }
+
+// capacity is how many repeats may be saved up for one window.
+func (b *retryBudget) capacity() float64 { return slackShare * b.slack / float64(b.vms) / 2 }
+
+func (b *retryBudget) pool(now time.Time, name string) *poolBudget {
+	p := b.pools[name]
+	if p == nil {
+		p = &poolBudget{level: b.capacity(), last: now}
+		b.pools[name] = p
+	}
+	// Half of the slack may be saved up, and half flows in over a window.
+	p.level = min(p.level+b.capacity()*now.Sub(p.last).Seconds()/b.window.Seconds(), b.capacity())
+	p.last = now
+	return p
+}
+
+// request counts a request that was admitted.
+func (b *retryBudget) request(now time.Time, pool string) {
+	p := b.pool(now, pool)
+	p.level = min(p.level+ratioShare*b.ratio, b.capacity())
+}
+
+// take takes one repeat, or returns false if none is left.
+func (b *retryBudget) take(now time.Time, pool string) bool {
+	p := b.pool(now, pool)
+	if p.level < 1 {
+		return false
+	}
+	p.level--
+	return true
+}
--- a/platform/client.go
+++ b/ledger/client.go
@@ -1,7 +1,7 @@
-// Package platform speaks to the platform's append-only log and to its list of VMs.
+// Package ledger speaks to the platform's append-only log and to its list of VMs.
 //
 // The wire format is in docs/PROTOCOLS.md. Nothing outside this package depends on it.
-package platform
+package ledger
 
 import (
 	"context"
--- a/platform/log.go
+++ b/ledger/log.go
@@ -1,4 +1,4 @@
-package platform
+package ledger
 
 import (
 	"context"
--- /dev/null
+++ b/peer/beacon.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cassiabridge/cassiabridge/placement"
+)
+
+const (
+	methodBeacon = "Beacon"
+	// maxDatagram bounds a beacon, in bytes.
+	maxDatagram = 60 << 10
+)
+
+// Beacon is what a VM tells all others about itself, again and again. It is whole each time, so that a lost one does
+// no harm.
+type Beacon struct {
+	VM          string
+	Incarnation string
+	// Sequence grows with each beacon of one run.
+	Sequence uint64
+	// Uptime is how long the process has run.
+	Uptime time.Duration
+	// Version is the version of the declarations in force.
+	Version uint64
+	// Leaving says that the VM takes no new requests.
+	Leaving bool
+	// Loads are the requests that it has under way at engines, by replica.
+	Loads map[string]placement.Load
+	// Spent are the tokens admitted since the start of the process, by account.
+	Spent map[string]float64
+}
+
+type beaconMessage struct {
+	VM, Incarnation string
+	Sequence        uint64
+	UptimeMillis    int64
+	Version         uint64
+	Leaving         bool               `json:",omitempty"`
+	Loads           map[string][2]int  `json:",omitempty"`
+	Spent           map[string]float64 `json:",omitempty"`
+}
+
+func encodeBeacon(b Beacon) ([]byte, error) {
+	m := beaconMessage{VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version,
+		Leaving: b.Leaving, Spent: b.Spent, Loads: make(map[string][2]int, len(b.Loads))}
+	for id, load := range b.Loads {
+		m.Loads[id] = [2]int{load.Requests, load.Tokens}
+	}
+	request := jsonrpc2.Request{Method: methodBeacon, Notif: true}
+	if err := request.SetParams(m); err != nil {
+		return nil, err
+	}
+	return json.Marshal(&request)
+}
+
+func decodeBeacon(data []byte) (Beacon, error) {
+	var request jsonrpc2.Request
+	if err := json.Unmarshal(data, &request); err != nil {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
+	}
+	if request.Method != methodBeacon || request.Params == nil {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: fmt.Errorf("method %q", request.Method)}
+	}
+	var m beaconMessage
+	if err := json.Unmarshal(*request.Params, &m); err != nil {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
+	}
+	if m.VM == "" {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: errors.New("it names no VM")}
+	}
+	b := Beacon{VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: time.Duration(m.UptimeMillis) * time.Millisecond,
+		Version: m.Version, Leaving: m.Leaving, Spent: m.Spent, Loads: make(map[string]placement.Load, len(m.Loads))}
+	for id, load := range m.Loads {
+		b.Loads[id] = placement.Load{Requests: load[0], Tokens: load[1]}
+	}
+	return b, nil
+}
+
+// Beacons sends and receives beacons as datagrams.
+type Beacons struct {
+	conn *net.UDPConn
+}
+
+// ListenBeacons receives beacons at an address, and passes each to received until the returned function is called.
+// Datagrams that are no beacons are passed to rejected.
+func ListenBeacons(addr string, received func(Beacon), rejected func(error)) (*Beacons, func(), error) {
+	local, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		return nil, nil, &Error{Op: "listen for beacons", Kind: ErrFailed, Err: err}
+	}
+	conn, err := net.ListenUDP("udp4", local)
+	if err != nil {
+		return nil, nil, &Error{Op: "listen for beacons", Kind: ErrFailed, Err: err}
+	}
+	b := &Beacons{conn: conn}
+	go b.receive(received, rejected)
+	return b, func() { conn.Close() }, nil
+}
+
+func (b *Beacons) receive(received func(Beacon), rejected func(error)) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			rejected(&Error{Op: "receive beacon", Kind: ErrUnreachable, Err: err})
+			continue
+		}
+		beacon, err := decodeBeacon(buffer[:n])
+		if err != nil {
+			rejected(err)
+			continue
+		}
+		received(beacon)
+	}
+}
+
+// Send sends a beacon to peers. Datagrams may be lost.
+func (b *Beacons) Send(beacon Beacon, to []*net.UDPAddr) error {
+	data, err := encodeBeacon(beacon)
+	if err != nil {
+		return &Error{Op: "encode beacon", Kind: ErrFailed, Err: err}
+	}
+	var failed error
+	for _, addr := range to {
+		if _, err := b.conn.WriteToUDP(data, addr); err != nil {
+			failed = &Error{Op: "send beacon to " + addr.String(), Kind: ErrUnreachable, Err: err}
+		}
+	}
+	return failed
+}
--- /dev/null
+++ b/placement/engine.go
@@ -0,0 +1,268 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// tieBreak spreads the choices of VMs that see the same picture.
+	tieBreak = 0.1
+	// zoneDetour is what a hop to another availability zone counts in a choice of services.
+	zoneDetour = time.Millisecond
+	// transferDetour is what a transfer of KV cache between availability zones counts in a choice of engines.
+	transferDetour = 40 * time.Millisecond
+	// fullDetour is what a full decode engine counts against an empty one: the more requests an engine runs, the
+	// slower each gets.
+	fullDetour = 120 * time.Millisecond
+	// memoryShare is the part of a decode engine's memory that is given out. The rest takes answers that grow longer
+	// than foreseen.
+	memoryShare = 0.97
+	// startMargin is the time besides prefill that a request needs to its first event.
+	startMargin = 60 * time.Millisecond
+	// fullPause is how long a decode engine that said it is full is not offered more.
+	fullPause = 60 * time.Millisecond
+	// latePatience is how long past its latency target a request is kept waiting for engines.
+	latePatience = 1500 * time.Millisecond
+	// returnSpread spreads the return of refused callers, so that they do not come as one wave.
+	returnSpread = time.Second
+	// shortestReturn is the least time after which a refused caller is asked to return.
+	shortestReturn = 500 * time.Millisecond
+)
+
+// Request is a request for engines.
+type Request struct {
+	ID   uint64
+	Pool string
+	// PromptTokens and OutputTokens are the prompt's length and the answer's expected length.
+	PromptTokens int
+	OutputTokens int
+	// Priority 0 goes first.
+	Priority  int
+	ArrivedAt time.Time
+	// TargetAt is when the first event is due. GiveUpAt is when nobody waits for it any more.
+	TargetAt time.Time
+	GiveUpAt time.Time
+	// Avoid lists replicas that have failed the request.
+	Avoid []string
+
+	prefill, decode string
+	startedAt       time.Time
+	ahead           int
+}
+
+func (r *Request) memory() int { return r.PromptTokens + r.OutputTokens }
+
+// DecisionKind says what happens to a request.
+type DecisionKind int
+
+// Kinds of decision.
+const (
+	// Start a request: prefill and decode engines are chosen.
+	Start DecisionKind = iota
+	// RefuseOverload says that no engine comes free in time.
+	RefuseOverload
+	// RefuseNoEngine says that the pool has no engines.
+	RefuseNoEngine
+)
+
+// Decision is what was decided of a request.
+type Decision struct {
+	ID      uint64
+	Kind    DecisionKind
+	Prefill Replica
+	Decode  Replica
+	// RetryAfter is when the caller may return after a refusal.
+	RetryAfter time.Duration
+	// Waiting is how many requests were waiting, and Free the tokens free at the chosen decode engine.
+	Waiting int
+	Free    int
+}
+
+// Submit adds a request to those that wait. Poll decides on it.
+func (b *Board) Submit(r Request) {
+	job := &r
+	b.jobs[r.ID] = job
+	b.waiting = append(b.waiting, job)
+}
+
+// Withdraw forgets a request and frees what it holds.
+func (b *Board) Withdraw(id uint64) {
+	job := b.jobs[id]
+	if job == nil {
+		return
+	}
+	delete(b.jobs, id)
+	b.waiting = slices.DeleteFunc(b.waiting, func(other *Request) bool { return other == job })
+	b.freePrefill(job)
+	b.freeDecode(job)
+}
+
+func (b *Board) freePrefill(job *Request) {
+	if r := b.replicas[job.prefill]; r != nil {
+		r.own.add(-1, -job.PromptTokens)
+	}
+	job.prefill = ""
+}
+
+func (b *Board) freeDecode(job *Request) {
+	if r := b.replicas[job.decode]; r != nil {
+		r.own.add(-1, -job.memory())
+	}
+	job.decode = ""
+}
+
+// Waiting returns how many requests wait.
+func (b *Board) Waiting() int { return len(b.waiting) }
+
+// Poll returns the decisions that can be made now. Requests that can still meet their latency target go first, by
+// priority and in order of arrival; late ones take what is left.
+func (b *Board) Poll(now time.Time) []Decision {
+	if len(b.waiting) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(b.waiting, func(x, y *Request) int {
+		return cmp.Or(compareBool(x.late(now), y.late(now)), cmp.Compare(x.Priority, y.Priority), x.ArrivedAt.Compare(y.ArrivedAt))
+	})
+	var decisions []Decision
+	var kept []*Request
+	blocked := map[string]bool{}
+	for _, job := range b.waiting {
+		decision, decided := b.decide(now, job, blocked[job.Pool])
+		if decided {
+			decision.Waiting = len(b.waiting)
+			decisions = append(decisions, decision)
+			continue
+		}
+		blocked[job.Pool] = true
+		kept = append(kept, job)
+	}
+	b.waiting = kept
+	return decisions
+}
+
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
+func (r *Request) late(now time.Time) bool { return now.Add(startMargin).After(r.TargetAt) }
+
+// decide starts or refuses a request, or leaves it waiting. Behind a request that waits for room nothing else
+// starts, so that large requests are not passed by small ones for ever.
+func (b *Board) decide(now time.Time, job *Request, blocked bool) (Decision, bool) {
+	prefills := b.candidates(now, job.Pool, StagePrefill, job.Avoid)
+	decodes := b.candidates(now, job.Pool, StageDecode, job.Avoid)
+	if len(prefills) == 0 || len(decodes) == 0 {
+		delete(b.jobs, job.ID)
+		return Decision{ID: job.ID, Kind: RefuseNoEngine, RetryAfter: b.returnAfter(0)}, true
+	}
+	if !blocked {
+		if p, d := b.pair(now, job, prefills, decodes); p != nil {
+			b.start(now, job, p, d)
+			return Decision{ID: job.ID, Kind: Start, Prefill: p.Replica, Decode: d.Replica, Free: b.free(d)}, true
+		}
+	}
+	if now.After(job.TargetAt.Add(latePatience)) || !now.Before(job.GiveUpAt) {
+		delete(b.jobs, job.ID)
+		return Decision{ID: job.ID, Kind: RefuseOverload, RetryAfter: b.returnAfter(0)}, true
+	}
+	return Decision{}, false
+}
+
+func (b *Board) returnAfter(least time.Duration) time.Duration {
+	return max(least, shortestReturn) + time.Duration(b.random()*float64(returnSpread))
+}
+
+// free returns the tokens of memory that a decode engine can still be given.
+func (b *Board) free(d *replica) int {
+	return int(memoryShare*float64(b.engines[d.Pool].MemoryTokens)) - d.load().Tokens
+}
+
+// pair chooses the prefill and the decode engine together: the prefill that ends soonest, a decode engine with much
+// room, and both in one availability zone if that costs little.
+func (b *Board) pair(now time.Time, job *Request, prefills, decodes []*replica) (bestPrefill, bestDecode *replica) {
+	spec := b.engines[job.Pool]
+	var bestCost time.Duration
+	for _, d := range decodes {
+		load := d.load()
+		room := b.free(d)
+		if room < job.memory() || load.Requests >= spec.MaxRunning || now.Before(d.fullUntil) {
+			continue
+		}
+		fullness := float64(load.Tokens) / float64(max(1, spec.MemoryTokens))
+		decodeCost := time.Duration(fullness * float64(fullDetour) * (1 + tieBreak*b.random()))
+		for _, p := range prefills {
+			cost := decodeCost + prefillTime(p, job.PromptTokens)
+			if p.Zone != d.Zone {
+				cost += transferDetour
+			}
+			if bestPrefill == nil || cost < bestCost {
+				bestPrefill, bestDecode, bestCost = p, d, cost
+			}
+		}
+	}
+	return bestPrefill, bestDecode
+}
+
+// prefillTime predicts when a prefill engine has read a prompt behind all that is before it.
+func prefillTime(p *replica, tokens int) time.Duration {
+	return time.Duration(float64(p.load().Tokens+tokens) / p.rate * float64(time.Second))
+}
+
+func (b *Board) start(now time.Time, job *Request, p, d *replica) {
+	job.prefill, job.decode, job.startedAt = p.ID, d.ID, now
+	job.ahead = p.load().Tokens + job.PromptTokens
+	p.own.add(1, job.PromptTokens)
+	d.own.add(1, job.memory())
+}
+
+// Prefilled notes that a prefill has ended, and learns the engine's speed from it if it ended well.
+func (b *Board) Prefilled(now time.Time, id uint64, ok bool) {
+	job := b.jobs[id]
+	if job == nil {
+		return
+	}
+	if p := b.replicas[job.prefill]; p != nil && ok {
+		p.succeeded()
+		p.learnRate(job.ahead, now.Sub(job.startedAt))
+	}
+	b.freePrefill(job)
+}
+
+// Replace chooses another decode engine for a request whose prompt has been read, after the one chosen before could
+// not take it.
+func (b *Board) Replace(now time.Time, id uint64, full bool) (Replica, bool) {
+	job := b.jobs[id]
+	if job == nil {
+		return Replica{}, false
+	}
+	if d := b.replicas[job.decode]; d != nil {
+		job.Avoid = append(job.Avoid, d.ID)
+		if full {
+			d.fullUntil = now.Add(fullPause)
+		}
+	}
+	b.freeDecode(job)
+	var best *replica
+	for _, d := range b.candidates(now, job.Pool, StageDecode, job.Avoid) {
+		if d.load().Requests >= b.engines[job.Pool].MaxRunning || now.Before(d.fullUntil) {
+			continue
+		}
+		if best == nil || b.free(d) > b.free(best) {
+			best = d
+		}
+	}
+	if best == nil {
+		return Replica{}, false
+	}
+	job.decode = best.ID
+	best.own.add(1, job.memory())
+	return best.Replica, true
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -45,6 +45,7 @@
 	if err := json.Unmarshal(standard.Pack(), &cfg); err != nil {
 		check.add("", err.Error())
 	}
+	check.store = cfg.Store.Address != ""
 	check.values(reflect.ValueOf(cfg), "")
 	check.access(cfg.Access)
 	if len(check.faults) > 0 {
@@ -63,6 +64,9 @@
 		case field.Kind() == reflect.Int:
 			n, _ := strconv.ParseInt(tag, 10, 64)
 			field.SetInt(n)
+		case field.Kind() == reflect.Float64:
+			n, _ := strconv.ParseFloat(tag, 64)
+			field.SetFloat(n)
 		case field.Kind() == reflect.String:
 			field.SetString(tag)
 		}
@@ -73,6 +77,8 @@
 	source []byte
 	root   hujson.Value
 	faults []Fault
+	// store says that the settings name a store, which takes the place of the log and the list.
+	store bool
 }
 
 func (c *checker) add(pointer, reason string) {
@@ -123,23 +129,29 @@
 		case reflect.Struct:
 			c.values(field, pointer)
 		case reflect.Int:
-			c.integer(pointer, field.Int(), info.Tag)
+			c.number(pointer, float64(field.Int()), info.Tag)
+		case reflect.Float64:
+			c.number(pointer, field.Float(), info.Tag)
 		case reflect.String:
 			c.text(pointer, field.String(), info.Tag)
 		}
 	}
 }
 
-func (c *checker) integer(pointer string, value int64, tag reflect.StructTag) {
-	low, _ := strconv.ParseInt(tag.Get("min"), 10, 64)
-	high, _ := strconv.ParseInt(tag.Get("max"), 10, 64)
+func (c *checker) number(pointer string, value float64, tag reflect.StructTag) {
+	low, _ := strconv.ParseFloat(tag.Get("min"), 64)
+	high, _ := strconv.ParseFloat(tag.Get("max"), 64)
 	if value < low || value > high {
-		c.add(pointer, fmt.Sprintf("%d is outside %d to %d", value, low, high))
+		c.add(pointer, fmt.Sprintf("%v is outside %s to %s", value, tag.Get("min"), tag.Get("max")))
 	}
 }
 
+// requiredWithoutStore marks fields that must be set unless the settings name a store.
+const requiredWithoutStore = "without Store"
+
 func (c *checker) text(pointer, value string, tag reflect.StructTag) {
 	switch {
+	case value == "" && c.store && tag.Get("required") == requiredWithoutStore:
 	case value == "" && tag.Get("required") != "":
 		c.add(pointer, "must be set")
 	case value == "":
