--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -154,7 +154,11 @@
 	names := make(map[string]bool, len(accounts))
 	for _, account := range accounts {
 		names[account.Name] = true
-		c.keeper.Configure(now, account.Name, quota.Terms{Rate: account.TokensPerSecond, Burst: account.BurstTokens})
+		terms := quota.Terms{Rate: account.TokensPerSecond, Burst: account.BurstTokens}
+		if c.keeper.Configure(now, account.Name, terms) {
+			c.log.Info("account-rate", zap.String("Account", account.Name), zap.Float64("Rate", terms.Rate), zap.Float64("Burst", terms.Burst),
+				zap.Float64("Level", c.keeper.Level(now, account.Name)))
+		}
 	}
 	c.keeper.Retain(names)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -44,20 +44,21 @@
 // NewKeeper returns a keeper without accounts.
 func NewKeeper() *Keeper { return &Keeper{buckets: map[string]*bucket{}} }
 
-// Configure sets the terms of an account. A new account starts with a full bucket.
-func (k *Keeper) Configure(now time.Time, account string, terms Terms) {
+// Configure sets the terms of an account, and reports whether they are new. A new account starts with a full bucket.
+func (k *Keeper) Configure(now time.Time, account string, terms Terms) bool {
 	b := k.buckets[account]
 	if b == nil {
 		k.buckets[account] = &bucket{terms: terms, level: terms.Burst, last: now, heard: map[string]float64{}}
-		return
+		return true
 	}
 	if b.terms == terms {
-		return
+		return false
 	}
 	k.refill(now, b)
 	grown := math.Max(0, terms.Burst-b.terms.Burst)
 	b.terms = terms
 	b.level = math.Min(b.level+grown, terms.Burst)
+	return true
 }
 
 // Retain forgets the accounts that are not among names.
