Never use an entry whose address belongs to another replica

Ruled out: full engines (all refusals were 421). Change: an upstream that answered 421 is out of use for good; a budget that was asked in vain is not asked twice.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -274,6 +274,14 @@
 	c.post(func() { c.board.Failed(c.now(), replica.ID, unreachable) })
 }
 
+// replaced notes that another replica answers at the address of an upstream.
+func (c *Controller) replaced(replica placement.Replica) {
+	c.post(func() {
+		c.board.Replaced(replica.ID)
+		c.log.Info("replica-replaced", zap.String("Replica", replica.ID), zap.String("Address", replica.Address))
+	})
+}
+
 // decide makes the decisions that can be made now.
 func (c *Controller) decide(now time.Time) {
 	for _, decision := range c.board.Poll(now) {
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -60,7 +60,7 @@
 	switch {
 	case failed.mayHaveRun && (r.route.Repeat == routing.AtMostOnce || r.attempts >= r.route.MaxAttempts):
 		return &Error{Op: "generate", Kind: ErrUpstream, Err: failed.err}
-	case g.placements < maxTries && (!failed.arrived || g.server.mayRepeat(r)):
+	case g.placements < maxTries && !failed.final && (!failed.arrived || g.server.mayRepeat(r)):
 		return nil
 	case failed.mayHaveRun:
 		return &Error{Op: "generate", Kind: ErrUpstream, Err: failed.err}
@@ -148,8 +148,11 @@
 			return g.passOn(r, at, resp)
 		}
 		next, found := placement.Replica{}, false
-		if !failed.mayHaveRun && ctx.Err() == nil && s.control.now().Before(fetchBy) && (!failed.arrived || s.mayRepeat(r)) {
-			next, found = s.control.replaceDecode(id, failed.full)
+		if !failed.mayHaveRun && ctx.Err() == nil && s.control.now().Before(fetchBy) {
+			failed.final = failed.arrived && !s.mayRepeat(r)
+			if !failed.final {
+				next, found = s.control.replaceDecode(id, failed.full)
+			}
 		}
 		if !found {
 			s.metrics.WastedPrefillTokens.Add(float64(r.call.PromptTokens))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -70,6 +70,8 @@
 	mayHaveRun bool
 	// full says that the upstream had no room.
 	full bool
+	// final says that the retry budget has been asked already, in vain.
+	final bool
 	err  error
 }
 
@@ -132,7 +134,7 @@
 		zap.Bool("Misdirected", verdict.Misdirected), zap.Int("Stage", int(hop.Stage)))
 	s.metrics.UpstreamFailures.WithLabelValues(r.pool.Name, "Refused").Inc()
 	if verdict.Misdirected {
-		s.control.failed(to, true)
+		s.control.replaced(to)
 		s.upstreams.Forget(to.Address)
 	}
 	r.avoid = append(r.avoid, to.ID)
--- a/placement/board.go
+++ b/placement/board.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// Replaced notes that another replica answers at the address of one. Its entry outlives it by some heartbeats.
+func (b *Board) Replaced(id string) {
+	if r := b.replicas[id]; r != nil {
+		r.replaced = true
+	}
+}
+
 // candidates returns the replicas of a pool and stage that may get work. Those that fail, and those to avoid, are
 // left out as long as others are left.
 func (b *Board) candidates(now time.Time, pool string, stage Stage, avoid []string) []*replica {
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,252 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/routing"
+)
+
+const (
+	enginePool  = "engines"
+	servicePool = "desk"
+	memory      = 76_160
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// newBoard returns a board with prefill and decode engines in turn in two zones, and a desk of three replicas.
+func newBoard(prefills, decodes int) *Board {
+	b := NewBoard("zone-a", func() float64 { return 0 })
+	b.Configure([]routing.Pool{{Name: enginePool, Engine: &routing.EngineSpec{MaxRunning: 48, MemoryTokens: memory, Retain: 500 * time.Millisecond}}})
+	for i := range prefills {
+		b.SetReplica(engineReplica(fmt.Sprintf("p%d", i), StagePrefill, i))
+	}
+	for i := range decodes {
+		b.SetReplica(engineReplica(fmt.Sprintf("d%d", i), StageDecode, i))
+	}
+	for i := range 3 {
+		b.SetReplica(Replica{ID: fmt.Sprintf("s%d", i), Pool: servicePool, Address: fmt.Sprintf("10.0.2.%d:1", i), Zone: "zone-a", Slots: 6})
+	}
+	return b
+}
+
+func engineReplica(id string, stage Stage, i int) Replica {
+	return Replica{ID: id, Pool: enginePool, Address: fmt.Sprintf("10.0.%d.%d:1", stage, i), Zone: []string{"zone-a", "zone-b"}[i%2], Stage: stage, Slots: 48}
+}
+
+func request(id uint64, arrived time.Duration, prompt, output int) Request {
+	return Request{ID: id, Pool: enginePool, PromptTokens: prompt, OutputTokens: output, ArrivedAt: at(arrived),
+		TargetAt: at(arrived + 900*time.Millisecond), GiveUpAt: at(arrived + 14*time.Second)}
+}
+
+// submit submits a request and returns the only decision that follows.
+func submit(t *testing.T, b *Board, now time.Duration, r Request) Decision {
+	t.Helper()
+	b.Submit(r)
+	decisions := b.Poll(at(now))
+	require.Len(t, decisions, 1)
+	return decisions[0]
+}
+
+func TestEnginesAreChosenTogether(t *testing.T) {
+	t.Run("in one availability zone", func(t *testing.T) {
+		d := submit(t, newBoard(2, 2), 0, request(1, 0, 5000, 3000))
+		assert.Equal(t, Start, d.Kind)
+		assert.Equal(t, d.Prefill.Zone, d.Decode.Zone)
+	})
+	t.Run("away from a prefill backlog", func(t *testing.T) {
+		b := newBoard(2, 2)
+		first := submit(t, b, 0, request(1, 0, 9000, 3000))
+		second := submit(t, b, 0, request(2, 0, 5000, 3000))
+		assert.NotEqual(t, first.Prefill.ID, second.Prefill.ID)
+	})
+	t.Run("by what peers have under way", func(t *testing.T) {
+		b := newBoard(1, 2)
+		b.SetPeerLoads("vm-2", map[string]Load{"d0": {Requests: 10, Tokens: memory}})
+		assert.Equal(t, "d1", submit(t, b, 0, request(1, 0, 5000, 3000)).Decode.ID)
+	})
+}
+
+func TestReplicasOutOfUse(t *testing.T) {
+	scenarios := []struct {
+		name string
+		take func(b *Board)
+	}{
+		{name: "leaving", take: func(b *Board) {
+			r := engineReplica("d0", StageDecode, 0)
+			r.Leaving = true
+			b.SetReplica(r)
+		}},
+		{name: "unreachable", take: func(b *Board) { b.Failed(at(0), "d0", true) }},
+		{name: "failing again and again", take: func(b *Board) {
+			for range failuresToPause {
+				b.Failed(at(0), "d0", false)
+			}
+		}},
+		{name: "doubtful", take: func(b *Board) {
+			r := engineReplica("d0", StageDecode, 0)
+			r.Doubtful = true
+			b.SetReplica(r)
+		}},
+		{name: "replaced by another at its address", take: func(b *Board) { b.Replaced("d0") }},
+		{name: "gone", take: func(b *Board) { b.RemoveReplica("d0") }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := newBoard(1, 2)
+			s.take(b)
+			for i := range uint64(6) {
+				assert.Equal(t, "d1", submit(t, b, 0, request(i+1, 0, 2000, 1000)).Decode.ID)
+			}
+		})
+	}
+	t.Run("a replaced one is not even the last resort", func(t *testing.T) {
+		b := newBoard(1, 1)
+		b.Replaced("d0")
+		b.SetReplica(engineReplica("d0", StageDecode, 0))
+		assert.Equal(t, RefuseNoEngine, submit(t, b, 0, request(1, 0, 2000, 1000)).Kind)
+	})
+	t.Run("a doubtful one is the last resort", func(t *testing.T) {
+		b := newBoard(1, 1)
+		r := engineReplica("d0", StageDecode, 0)
+		r.Doubtful = true
+		b.SetReplica(r)
+		assert.Equal(t, Start, submit(t, b, 0, request(1, 0, 2000, 1000)).Kind)
+	})
+}
+
+func TestNothingStartsWithoutRoom(t *testing.T) {
+	b := newBoard(1, 1)
+	for i := range uint64(7) {
+		require.Equal(t, Start, submit(t, b, 0, request(i+1, 0, 5000, 5000)).Kind)
+	}
+	b.Submit(request(8, 0, 5000, 5000))
+	assert.Empty(t, b.Poll(at(0)), "the memory is given out")
+	t.Run("until a request ends", func(t *testing.T) {
+		b.Withdraw(3)
+		decisions := b.Poll(at(100 * time.Millisecond))
+		require.Len(t, decisions, 1)
+		assert.Equal(t, uint64(8), decisions[0].ID)
+	})
+}
+
+func TestSmallRequestsDoNotPassLargeOnesForEver(t *testing.T) {
+	b := newBoard(1, 1)
+	require.Equal(t, Start, submit(t, b, 0, request(1, 0, 60_000, 5000)).Kind)
+	b.Submit(request(2, 0, 20_000, 5000))
+	b.Submit(request(3, time.Millisecond, 1000, 500))
+	assert.Empty(t, b.Poll(at(2*time.Millisecond)))
+	b.Withdraw(1)
+	decisions := b.Poll(at(3 * time.Millisecond))
+	require.Len(t, decisions, 2)
+	assert.Equal(t, uint64(2), decisions[0].ID)
+}
+
+func TestOrderOfWaitingRequests(t *testing.T) {
+	full := func() *Board {
+		b := newBoard(1, 1)
+		require.Equal(t, Start, submit(t, b, 0, request(1, 0, 70_000, 3000)).Kind)
+		return b
+	}
+	first := func(b *Board, now time.Duration) uint64 {
+		b.Withdraw(1)
+		decisions := b.Poll(at(now))
+		require.NotEmpty(t, decisions)
+		return decisions[0].ID
+	}
+	t.Run("urgent first", func(t *testing.T) {
+		b := full()
+		usual, urgent := request(2, 0, 5000, 3000), request(3, time.Millisecond, 5000, 3000)
+		usual.Priority = 1
+		b.Submit(usual)
+		b.Submit(urgent)
+		assert.Equal(t, uint64(3), first(b, 10*time.Millisecond))
+	})
+	t.Run("those that can be in time before late ones", func(t *testing.T) {
+		b := full()
+		b.Submit(request(2, 0, 5000, 3000))
+		b.Submit(request(3, 800*time.Millisecond, 5000, 3000))
+		assert.Equal(t, uint64(3), first(b, 1100*time.Millisecond))
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	b := newBoard(1, 1)
+	require.Equal(t, Start, submit(t, b, 0, request(1, 0, 70_000, 3000)).Kind)
+	b.Submit(request(2, 0, 5000, 3000))
+	assert.Empty(t, b.Poll(at(900*time.Millisecond)))
+	decisions := b.Poll(at(900*time.Millisecond + latePatience + time.Millisecond))
+	require.Len(t, decisions, 1)
+	assert.Equal(t, RefuseOverload, decisions[0].Kind)
+	assert.GreaterOrEqual(t, decisions[0].RetryAfter, shortestReturn)
+	assert.Zero(t, b.Waiting())
+	t.Run("at once without engines", func(t *testing.T) {
+		assert.Equal(t, RefuseNoEngine, submit(t, newBoard(0, 1), 0, request(1, 0, 5000, 3000)).Kind)
+	})
+}
+
+func TestAnotherDecodeEngine(t *testing.T) {
+	b := newBoard(1, 3)
+	d := submit(t, b, 0, request(1, 0, 5000, 3000))
+	b.Prefilled(at(100*time.Millisecond), 1, true)
+	next, found := b.Replace(at(100*time.Millisecond), 1, true)
+	require.True(t, found)
+	assert.NotEqual(t, d.Decode.ID, next.ID)
+	third, found := b.Replace(at(100*time.Millisecond), 1, true)
+	require.True(t, found)
+	assert.NotContains(t, []string{d.Decode.ID, next.ID}, third.ID)
+	_, found = b.Replace(at(100*time.Millisecond), 1, true)
+	assert.False(t, found)
+	b.Withdraw(1)
+	assert.Empty(t, b.OwnLoads(), "a request that ended holds nothing")
+}
+
+func TestPrefillSpeedIsLearned(t *testing.T) {
+	b := newBoard(2, 2)
+	for i := range uint64(8) {
+		d := submit(t, b, 0, request(i+1, 0, 5000, 100))
+		took := 300 * time.Millisecond
+		if d.Prefill.ID == "p1" {
+			took = 60 * time.Millisecond
+		}
+		b.Prefilled(at(took), d.ID, true)
+		b.Withdraw(d.ID)
+	}
+	assert.Equal(t, "p1", submit(t, b, time.Second, request(99, time.Second, 5000, 100)).Prefill.ID)
+}
+
+func TestServices(t *testing.T) {
+	t.Run("calls are spread", func(t *testing.T) {
+		b := newBoard(0, 0)
+		seen := map[string]int{}
+		for range 9 {
+			r, found := b.PickService(at(0), servicePool, nil)
+			require.True(t, found)
+			seen[r.ID]++
+		}
+		assert.Equal(t, map[string]int{"s0": 3, "s1": 3, "s2": 3}, seen)
+	})
+	t.Run("a slow one gets fewer", func(t *testing.T) {
+		b := newBoard(0, 0)
+		for range 8 {
+			b.SetReplica(Replica{ID: "s0", Pool: servicePool, Address: "10.0.2.0:1", Zone: "zone-a", Slots: 6})
+			b.replicas["s0"].own.add(1, 0)
+			b.ReleaseService("s0", 500*time.Millisecond)
+		}
+		for range 4 {
+			r, _ := b.PickService(at(0), servicePool, nil)
+			assert.NotEqual(t, "s0", r.ID)
+		}
+	})
+	t.Run("those to avoid are left out", func(t *testing.T) {
+		_, found := newBoard(0, 0).PickService(at(0), servicePool, []string{"s0", "s1", "s2"})
+		assert.False(t, found)
+	})
+}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -70,6 +70,8 @@
 	failures int
 	// passedUntil is the time until which the replica is passed over.
 	passedUntil time.Time
+	// replaced says that another replica answers at the address. IDs are not used again while that is so.
+	replaced bool
 	// fullUntil is the time until which a decode engine is taken to be full, after it said so.
 	fullUntil time.Time
 }
@@ -93,7 +95,7 @@
 }
 
 // lastResort reports whether the replica may get new work when no other is usable.
-func (r *replica) lastResort() bool { return !r.Leaving }
+func (r *replica) lastResort() bool { return !r.Leaving && !r.replaced }
 
 func (r *replica) succeeded() { r.failures = 0 }
 
