Tell peers of replaced replicas; do not let news of peers storm the store

Ruled out: the pace of the replica list (1.2 calls a second and VM, 835 of the calls). Change: beacons carry replaced replicas; a new entry with the address of an old one takes the old one out of use; the retry budget may save up three quarters of the slack; readings because of peers at most twice a second. Tests: placement (listed under a new ID), exchange.

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -6,10 +6,12 @@
 	defaultRetryRatio  = 0.2
 	defaultRetrySlack  = 5.0
 	defaultRetryWindow = 10 * time.Second
-	// ratioShare and slackShare are the parts of the budget that are used. The budget counts what arrives at
-	// upstreams in any window, and this VM counts by its own clock.
-	ratioShare = 0.8
-	slackShare = 0.8
+	// ratioShare is the part of the budget's share of requests that is used, savedShare the part of its slack that may be
+	// saved up, and inflowShare the part that flows in over a window. The rest covers requests that are counted in the
+	// window beside theirs.
+	ratioShare  = 0.8
+	savedShare  = 0.75
+	inflowShare = 0.1
 )
 
 // retryBudget bounds how many requests this VM sends to a pool more than once. All VMs share a budget; each uses
@@ -36,7 +38,7 @@
 func (b *retryBudget) setVMs(n int) { b.vms = max(1, n) }
 
 // capacity is how many repeats may be saved up for one window.
-func (b *retryBudget) capacity() float64 { return slackShare * b.slack / float64(b.vms) / 2 }
+func (b *retryBudget) capacity() float64 { return savedShare * b.slack / float64(b.vms) }
 
 func (b *retryBudget) pool(now time.Time, name string) *poolBudget {
 	p := b.pools[name]
@@ -44,8 +46,8 @@
 		p = &poolBudget{level: b.capacity(), last: now}
 		b.pools[name] = p
 	}
-	// Half of the slack may be saved up, and half flows in over a window.
-	p.level = min(p.level+b.capacity()*now.Sub(p.last).Seconds()/b.window.Seconds(), b.capacity())
+	inflow := inflowShare * b.slack / float64(b.vms) / b.window.Seconds()
+	p.level = min(p.level+inflow*now.Sub(p.last).Seconds(), b.capacity())
 	p.last = now
 	return p
 }
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -50,6 +50,7 @@
 	placing   map[uint64]chan placement.Decision
 	lastID    uint64
 	startedAt time.Time
+	nudgedAt  time.Time
 	beacon    beaconState
 }
 
@@ -278,6 +279,7 @@
 func (c *Controller) replaced(replica placement.Replica) {
 	c.post(func() {
 		c.board.Replaced(replica.ID)
+		c.beacon.dirty = true
 		c.log.Info("replica-replaced", zap.String("Replica", replica.ID), zap.String("Address", replica.Address))
 	})
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -18,6 +18,8 @@
 	beaconPause = 10 * time.Millisecond
 	// spentPause is the least time between two beacons that only say that tokens were spent.
 	spentPause = 100 * time.Millisecond
+	// nudgePause is the least time between two readings of the declarations because of other VMs.
+	nudgePause = 500 * time.Millisecond
 	// silentAfter is the silence after which the loads of a VM are forgotten and its share of rates is left to it.
 	silentAfter = 1500 * time.Millisecond
 	// goneAfter is the silence after which a VM is no longer counted. Cuts of the network last some seconds.
@@ -129,9 +131,21 @@
 	p.incarnation, p.sequence, p.heardAt, p.silent, p.leaving, p.version = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version
 	c.keeper.Heard(now, run, b.Spent)
 	c.board.SetPeerLoads(b.VM, b.Loads)
-	if table := c.table.Load(); table == nil || b.Version > table.Version {
-		c.nudge()
+	for _, id := range b.Replaced {
+		c.board.Replaced(id)
 	}
+	c.followNewer(now, b.Version)
+}
+
+// followNewer has the declarations read again when another VM has newer ones, but not again and again while the store
+// does not answer.
+func (c *Controller) followNewer(now time.Time, version uint64) {
+	table := c.table.Load()
+	if table != nil && version <= table.Version || now.Sub(c.nudgedAt) < nudgePause {
+		return
+	}
+	c.nudgedAt = now
+	c.nudge()
 }
 
 // tickPeers finds the VMs that have gone silent, and shares rates among the rest.
@@ -179,7 +193,7 @@
 		version = table.Version
 	}
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
-		Leaving: c.leaving.Load(), Loads: c.board.OwnLoads(), Spent: c.keeper.Spent()}
+		Leaving: c.leaving.Load(), Loads: c.board.OwnLoads(), Spent: c.keeper.Spent(), Replaced: c.board.ReplacedIDs()}
 	if err := c.sendBeacon(b, to); err != nil {
 		c.log.Debug("beacon-not-sent", zap.Error(err))
 	}
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,15 +46,13 @@
 func NewReplicaUpdate(batch follow.Batch, decode func(id string, data []byte) (placement.Replica, error)) ReplicaUpdate {
 	update := ReplicaUpdate{Whole: batch.Whole, Outage: batch.Outage}
 	newest := map[string]follow.Record{}
-	var order []string
 	for _, record := range batch.Records {
-		if _, seen := newest[record.Key]; !seen {
-			order = append(order, record.Key)
-		}
 		newest[record.Key] = record
 	}
-	for _, id := range order {
-		record := newest[id]
+	// Of two entries with one address the later one is the replica's that lives.
+	byOffset := func(x, y follow.Record) int { return cmp.Compare(x.Offset, y.Offset) }
+	for _, record := range slices.SortedFunc(maps.Values(newest), byOffset) {
+		id := record.Key
 		if len(record.Value) == 0 {
 			update.Removed = append(update.Removed, id)
 			continue
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -72,7 +72,7 @@
 	full bool
 	// final says that the retry budget has been asked already, in vain.
 	final bool
-	err  error
+	err   error
 }
 
 // afterFailure returns the refusal with which a request ends after a failed exchange, or nil if it is to be sent to a
--- a/placement/board.go
+++ b/placement/board.go
@@ -46,6 +46,9 @@
 // address.
 func (b *Board) SetReplica(listed Replica) {
 	old := b.replicas[listed.ID]
+	if old == nil {
+		b.supersede(listed)
+	}
 	if old == nil || old.Address != listed.Address {
 		b.replicas[listed.ID] = newReplica(listed)
 	} else {
@@ -54,6 +57,16 @@
 	b.index()
 }
 
+// supersede takes the replicas out of use that had the address of one that is listed for the first time. Their entries
+// outlive them by some heartbeats.
+func (b *Board) supersede(listed Replica) {
+	for _, r := range b.replicas {
+		if r.Address == listed.Address && r.ID != listed.ID {
+			r.replaced = true
+		}
+	}
+}
+
 // RemoveReplica forgets a replica. Requests under way there go on.
 func (b *Board) RemoveReplica(id string) {
 	delete(b.replicas, id)
@@ -121,6 +134,17 @@
 	}
 }
 
+// ReplacedIDs returns the listed replicas at whose addresses others answer.
+func (b *Board) ReplacedIDs() []string {
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(b.replicas)) {
+		if b.replicas[id].replaced {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // candidates returns the replicas of a pool and stage that may get work. Those that fail, and those to avoid, are
 // left out as long as others are left.
 func (b *Board) candidates(now time.Time, pool string, stage Stage, avoid []string) []*replica {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -32,7 +32,7 @@
 		b.SetReplica(engineReplica(fmt.Sprintf("d%d", i), StageDecode, i))
 	}
 	for i := range 3 {
-		b.SetReplica(Replica{ID: fmt.Sprintf("s%d", i), Pool: servicePool, Address: fmt.Sprintf("10.0.2.%d:1", i), Zone: "zone-a", Slots: 6})
+		b.SetReplica(Replica{ID: fmt.Sprintf("s%d", i), Pool: servicePool, Address: fmt.Sprintf("10.0.3.%d:1", i), Zone: "zone-a", Slots: 6})
 	}
 	return b
 }
@@ -96,6 +96,12 @@
 			b.SetReplica(r)
 		}},
 		{name: "replaced by another at its address", take: func(b *Board) { b.Replaced("d0") }},
+		{name: "listed under a new ID", take: func(b *Board) {
+			heir := engineReplica("p9", StagePrefill, 0)
+			heir.Address = engineReplica("d0", StageDecode, 0).Address
+			heir.Pool = "other"
+			b.SetReplica(heir)
+		}},
 		{name: "gone", take: func(b *Board) { b.RemoveReplica("d0") }},
 	}
 	for _, s := range scenarios {
@@ -236,7 +242,7 @@
 	t.Run("a slow one gets fewer", func(t *testing.T) {
 		b := newBoard(0, 0)
 		for range 8 {
-			b.SetReplica(Replica{ID: "s0", Pool: servicePool, Address: "10.0.2.0:1", Zone: "zone-a", Slots: 6})
+			b.SetReplica(Replica{ID: "s0", Pool: servicePool, Address: "10.0.3.0:1", Zone: "zone-a", Slots: 6})
 			b.replicas["s0"].own.add(1, 0)
 			b.ReleaseService("s0", 500*time.Millisecond)
 		}
