--- a/exchange/client.go
+++ b/exchange/client.go
@@ -67,6 +67,8 @@
 	whole   bool
 	keep    bool
 	closed  bool
+	// cause turns an error of the connection into the reason for which the request was abandoned, if it was.
+	cause func(error) error
 }
 
 // Client keeps connections to upstreams. It is safe for concurrent use.
@@ -200,7 +202,8 @@
 		return nil, &Error{Op: op, Kind: ErrInDoubt, Err: cause(ctx, readErr)}
 	}
 	answer := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Reused: reused,
-		body: resp.Body, conn: connection, client: c, addr: addr, stop: stop, writing: writing}
+		body: resp.Body, conn: connection, client: c, addr: addr, stop: stop, writing: writing,
+		cause: func(err error) error { return cause(ctx, err) }}
 	answer.keep = !resp.Close && connection.limitIdle(c.now(), resp.Header)
 	return answer, nil
 }
@@ -277,7 +280,7 @@
 		return n, err
 	}
 	if err != nil {
-		return n, &Error{Op: "read answer of " + r.addr, Kind: ErrBroken, Err: err}
+		return n, &Error{Op: "read answer of " + r.addr, Kind: ErrBroken, Err: r.cause(err)}
 	}
 	return n, nil
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -125,11 +125,12 @@
 			c.keeper.Joined(run, b.Spent)
 		}
 		c.log.Info("vm-heard", zap.String("Peer", b.VM), zap.String("Incarnation", b.Incarnation), zap.Duration("Uptime", b.Uptime))
-	case p.silent:
+	case p.silent && !p.heardAt.IsZero():
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.heardAt)))
 	}
+	late := p.silent && p.incarnation == b.Incarnation
 	p.incarnation, p.sequence, p.heardAt, p.silent, p.leaving, p.version = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version
-	c.keeper.Heard(now, run, b.Spent)
+	c.keeper.Heard(now, run, b.Spent, late)
 	c.board.SetPeerLoads(b.VM, b.Loads)
 	for _, id := range b.Replaced {
 		c.board.Replaced(id)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -130,10 +130,15 @@
 }
 
 func (s *Server) forward(ctx context.Context, r *request) *Error {
+	serve := s.callService
 	if r.pool.Engine != nil {
-		return s.generate(ctx, r)
+		serve = s.generate
 	}
-	return s.callService(ctx, r)
+	refusal := serve(ctx, r)
+	if refusal != nil && refusal.Kind == ErrUpstream && ctx.Err() != nil {
+		return s.ended(ctx, r)
+	}
+	return refusal
 }
 
 // identify finds the route, the pool and the account of a request.
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// tieBreak spreads the choices of VMs that see the same picture.
-	tieBreak = 0.1
+	// tieBreak spreads the choices of services by VMs that see the same picture, and choiceSpread those of engines.
+	tieBreak     = 0.1
+	choiceSpread = 4 * time.Millisecond
 	// zoneDetour is what a hop to another availability zone counts in a choice of services.
 	zoneDetour = time.Millisecond
 	// transferDetour is what a transfer of KV cache between availability zones counts in a choice of engines.
@@ -197,9 +198,9 @@
 			continue
 		}
 		fullness := float64(load.Tokens) / float64(max(1, spec.MemoryTokens))
-		decodeCost := time.Duration(fullness * float64(fullDetour) * (1 + tieBreak*b.random()))
+		decodeCost := time.Duration(fullness*float64(fullDetour) + b.random()*float64(choiceSpread))
 		for _, p := range prefills {
-			cost := decodeCost + prefillTime(p, job.PromptTokens)
+			cost := decodeCost + prefillTime(p, job.PromptTokens) + time.Duration(b.random()*float64(choiceSpread))
 			if p.Zone != d.Zone {
 				cost += transferDetour
 			}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// maxDebtShare bounds, as a share of the burst, how far late news of other VMs can take an estimate below
-// nothing: what a VM admitted while it was not heard has partly been left to it already.
+// maxDebtShare bounds, as a share of the burst, how far the news of a VM that had been silent can take an estimate below
+// nothing: its even share has been left to it already.
 const maxDebtShare = 0.25
 
 // Terms are an account's rate in tokens a second and its burst in tokens. A rate of 0 sets no bound.
@@ -140,8 +140,8 @@
 	return spent
 }
 
-// Heard takes what a run of another VM's process has admitted since its start.
-func (k *Keeper) Heard(now time.Time, vm string, spent map[string]float64) {
+// Heard takes what a run of another VM's process has admitted since its start. late says that the VM had been silent.
+func (k *Keeper) Heard(now time.Time, vm string, spent map[string]float64, late bool) {
 	for account, total := range spent {
 		b := k.buckets[account]
 		if b == nil {
@@ -149,7 +149,11 @@
 		}
 		k.refill(now, b)
 		if news := total - b.heard[vm]; news != 0 {
-			b.level = min(max(b.level-news, -maxDebtShare*b.terms.Burst), b.terms.Burst)
+			before := b.level
+			b.level = math.Min(b.level-news, b.terms.Burst)
+			if late {
+				b.level = math.Max(b.level, math.Min(before, -maxDebtShare*b.terms.Burst))
+			}
 		}
 		b.heard[vm] = total
 	}
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -15,6 +15,8 @@
 type Faults struct {
 	// Down closes connections without an answer, before any effect.
 	Down bool
+	// Silent neither answers nor closes, and has no effect.
+	Silent bool
 	// LoseAnswers closes connections without an answer, after the effect.
 	LoseAnswers bool
 	// DelayMillis delays each request before its effect.
@@ -64,6 +66,10 @@
 		if faults.Down {
 			panic(http.ErrAbortHandler)
 		}
+		if faults.Silent {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
 		if faults.Status != 0 {
 			http.Error(w, "told to fail", faults.Status)
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,229 @@
+package standin
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Topics of the metadata store.
+const (
+	topicConfiguration = "keyed.op"
+	topicReplicas      = "keyed.servers"
+)
+
+// Store takes the place of the users' metadata store: topics that keep the newest record of each key.
+type Store struct {
+	faulty
+	mu     sync.Mutex
+	topics map[string]*topic
+	calls  map[string]int
+}
+
+// topic is one partition. Records before first have been dropped.
+type topic struct {
+	first   uint64
+	records []keyedRecord
+	newest  map[string]keyedRecord
+	changed chan struct{}
+}
+
+type keyedRecord struct {
+	offset uint64
+	key    string
+	value  []byte
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{topics: map[string]*topic{}, calls: map[string]int{}} }
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]keyedRecord{}, changed: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// Put writes the newest record of a key. Without a value it removes the key.
+func (s *Store) Put(topicName, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topicName)
+	record := keyedRecord{offset: t.end(), key: key, value: value}
+	t.records = append(t.records, record)
+	if len(value) == 0 {
+		delete(t.newest, key)
+	} else {
+		t.newest[key] = record
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// PutJSON writes the newest record of a key as JSON.
+func (s *Store) PutJSON(topicName, key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.Put(topicName, key, data)
+}
+
+// Configure puts a configuration in force.
+func (s *Store) Configure(configuration any) { s.PutJSON(topicConfiguration, "config", configuration) }
+
+// PutReplica writes the entry of a replica, or removes it if entry is nil.
+func (s *Store) PutReplica(id string, entry any) {
+	if entry == nil {
+		s.Put(topicReplicas, id, nil)
+		return
+	}
+	s.PutJSON(topicReplicas, id, entry)
+}
+
+// Forget drops the history of a topic. The newest record of each key stays.
+func (s *Store) Forget(topicName string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topicName)
+	t.first, t.records = t.end(), nil
+}
+
+// Calls returns how many calls of a kind were made.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+func (t *topic) end() uint64 { return t.first + uint64(len(t.records)) }
+
+// Handler serves the store.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/log-newest", s.counted(s.handleNewest))
+	mux.HandleFunc("GET /api/log-read", s.counted(s.handleRead))
+	mux.HandleFunc("POST /api/log-append", s.counted(s.handleAppend))
+	mux.HandleFunc("POST /faults", s.handleFaults)
+	return mux
+}
+
+func (s *Store) counted(next http.HandlerFunc) http.HandlerFunc {
+	wrapped := s.wrap(next)
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls[r.URL.Path]++
+		s.mu.Unlock()
+		wrapped(w, r)
+	}
+}
+
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset uint64 `json:"offset"`
+}
+
+type newestPage struct {
+	Items     []newestItem `json:"items"`
+	HasMore   bool         `json:"hasMore"`
+	EndOffset uint64       `json:"endOffset"`
+}
+
+// pageItems is how many records the store puts on a page of the newest ones.
+const pageItems = 500
+
+func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	page := newestPage{Items: []newestItem{}, EndOffset: t.end()}
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		if key <= r.URL.Query().Get("after") {
+			continue
+		}
+		if len(page.Items) == pageItems {
+			page.HasMore = true
+			break
+		}
+		record := t.newest[key]
+		page.Items = append(page.Items, newestItem{Key: key, Value: record.value, Offset: record.offset})
+	}
+	writeJSON(w, page)
+}
+
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		changed := t.changed
+		if from < t.first {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			writeJSON(w, map[string]uint64{"firstOffset": t.first})
+			return
+		}
+		if from < t.end() || wait == 0 {
+			data := t.encode(from)
+			s.mu.Unlock()
+			_, _ = w.Write(data)
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// encode returns the answer to a read: the end, the first offset, and the records.
+func (t *topic) encode(from uint64) []byte {
+	data := binary.BigEndian.AppendUint64(nil, t.end())
+	data = binary.BigEndian.AppendUint64(data, t.first)
+	for _, record := range t.records[min(from-t.first, uint64(len(t.records))):] {
+		data = binary.BigEndian.AppendUint32(data, uint32(1+len(record.key)+len(record.value)))
+		data = append(data, byte(len(record.key)))
+		data = append(data, record.key...)
+		data = append(data, record.value...)
+	}
+	return data
+}
+
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Query().Get("topic")
+	if name == topicConfiguration || name == topicReplicas {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	first := s.topic(name).end()
+	s.mu.Unlock()
+	for len(body) > 4 {
+		length := int(binary.BigEndian.Uint32(body))
+		record := body[4 : 4+length]
+		body = body[4+length:]
+		keyLength := int(record[0])
+		s.Put(name, string(record[1:1+keyLength]), record[1+keyLength:])
+	}
+	writeJSON(w, map[string]uint64{"offset": first, "endOffset": first + 1})
+}
