--- a/placement/engine.go
+++ b/placement/engine.go
@@ -20,6 +20,9 @@
 	// memoryShare is the part of a decode engine's memory that is given out. The rest takes answers that grow longer
 	// than foreseen.
 	memoryShare = 0.97
+	// outputShare is the part of the expected answer that counts as memory of a decode engine. Requests that run out of
+	// memory are preempted, and their prompts read again.
+	outputShare = 0.8
 	// startMargin is the time besides prefill that a request needs to its first event.
 	startMargin = 60 * time.Millisecond
 	// fullPause is how long an engine that said it is full is not offered more.
@@ -53,7 +56,9 @@
 	ahead           int
 }
 
-func (r *Request) memory() int { return r.PromptTokens + r.OutputTokens }
+// memory is the room that a request is given at a decode engine. Answers grow while others end, so that few are at
+// their longest at the same time.
+func (r *Request) memory() int { return r.PromptTokens + int(outputShare*float64(r.OutputTokens)) }
 
 // DecisionKind says what happens to a request.
 type DecisionKind int
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -130,16 +130,20 @@
 
 func TestNothingStartsWithoutRoom(t *testing.T) {
 	b := newBoard(1, 1)
-	for i := range uint64(7) {
-		require.Equal(t, Start, submit(t, b, 0, request(i+1, 0, 5000, 5000)).Kind)
+	given := 0
+	for i := range uint64(8) {
+		r := request(i+1, 0, 5000, 5000)
+		require.Equal(t, Start, submit(t, b, 0, r).Kind)
+		given += r.memory()
 	}
-	b.Submit(request(8, 0, 5000, 5000))
+	assert.LessOrEqual(t, given, memory)
+	b.Submit(request(9, 0, 5000, 5000))
 	assert.Empty(t, b.Poll(at(0)), "the memory is given out")
 	t.Run("until a request ends", func(t *testing.T) {
 		b.Withdraw(3)
 		decisions := b.Poll(at(100 * time.Millisecond))
 		require.Len(t, decisions, 1)
-		assert.Equal(t, uint64(8), decisions[0].ID)
+		assert.Equal(t, uint64(9), decisions[0].ID)
 	})
 }
 
