--- /dev/null
+++ b/peer/beacon_test.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/placement"
+)
+
+func TestBeaconsArriveWhole(t *testing.T) {
+	received := make(chan Beacon, 1)
+	rejected := make(chan error, 1)
+	listener, closeListener, err := ListenBeacons("127.0.0.1:0", func(b Beacon) { received <- b }, func(err error) { rejected <- err })
+	require.NoError(t, err)
+	defer closeListener()
+	addr := listener.conn.LocalAddr().(*net.UDPAddr)
+	sent := Beacon{VM: "vm-1", Incarnation: "x", Sequence: 3, Uptime: 4 * time.Second, Version: 7, Leaving: true, Replaced: []string{"i-9"},
+		Loads: map[string]placement.Load{"i-1": {Requests: 2, Tokens: 9000}}, Spent: map[string]float64{"a": 12.5}}
+	require.NoError(t, listener.Send(sent, []*net.UDPAddr{addr}))
+	select {
+	case b := <-received:
+		assert.Equal(t, sent, b)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the beacon did not come")
+	}
+	t.Run("others are rejected", func(t *testing.T) {
+		conn, err := net.DialUDP("udp4", nil, addr)
+		require.NoError(t, err)
+		defer conn.Close()
+		for _, text := range []string{"x", "{}", `{"jsonrpc":"2.0","method":"Other","params":{}}`, `{"jsonrpc":"2.0","method":"Beacon","params":{}}`} {
+			_, err := conn.Write([]byte(text))
+			require.NoError(t, err)
+			select {
+			case err := <-rejected:
+				assert.Error(t, err)
+			case <-time.After(5 * time.Second):
+				require.Fail(t, "it was not rejected", text)
+			}
+		}
+	})
+}
+
+func FuzzBeacon(f *testing.F) {
+	f.Add([]byte(`{"jsonrpc":"2.0","method":"Beacon","params":{"VM":"v","Loads":{"i":[1,2]},"Spent":{"a":1e300}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := decodeBeacon(data)
+		if err == nil {
+			assert.NotEmpty(t, b.VM)
+		}
+	})
+}
--- a/placement/board.go
+++ b/placement/board.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// PeerRequests returns how many requests the other VMs have under way at a replica.
+func (b *Board) PeerRequests(id string) int {
+	total := 0
+	if r := b.replicas[id]; r != nil {
+		for _, load := range r.peers {
+			total += load.Requests
+		}
+	}
+	return total
+}
+
 // OwnLoads returns what this VM has under way at engines, by replica.
 func (b *Board) OwnLoads() map[string]Load {
 	loads := map[string]Load{}
