--- a/catalog/main_test.go
+++ b/catalog/main_test.go
@@ -1,18 +1,9 @@
 package catalog
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/cassiabridge/cassiabridge/standin/seeded"
 )
 
-// TestMain fixes the seed of the random tests, unless one is given. The seed alone repeats a failure, so
-// no file is left in the sources.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.nofailfile", "true")
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, "100") }
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -1,27 +1,18 @@
 package dispatch
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/cassiabridge/cassiabridge/standin/seeded"
 )
 
-// TestMain fixes the seed of the random tests, unless one is given. The seed alone repeats a failure, so
-// no file is left in the sources.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.nofailfile", "true")
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, "100") }
 
 var epoch = time.Unix(1_800_000_000, 0)
 
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -34,9 +34,6 @@
 // quiet reports whether the idle connection is still open and no bytes wait on it. Bytes that come
 // without a request belong to no answer.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -167,6 +167,23 @@
 			assert.Equal(t, s.want, connections.Load())
 		})
 	}
+	t.Run("not with bytes that come late", func(t *testing.T) {
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		addr, connections := listen(t, func(_ *testing.T, conn net.Conn, reader *bufio.Reader) {
+			for readRequest(reader) {
+				_, _ = io.WriteString(conn, answer)
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(conn, answer)
+			}
+		})
+		c := newClient(t)
+		for range 2 {
+			_, _, err := get(context.Background(), c, addr)
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, int32(2), connections.Load())
+	})
 	t.Run("not for a request that may not wait on an old one", func(t *testing.T) {
 		addr, connections := listen(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 		c := newClient(t)
--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -85,7 +85,7 @@
 		Routes: []map[string]any{
 			route("review", "/review/", "streaming", enginesName, nil),
 			route("check", "/check/", "streaming", enginesName, map[string]any{"resumable": true, "maxAttempts": 2}),
-			route("release", "/release/", "non_idempotent", deskName, nil),
+			route("release", "/release/", "non_idempotent", deskName, map[string]any{"maxAttempts": 2}),
 			route("status", "/status/", "idempotent", deskName, map[string]any{"maxAttempts": 2}),
 			route("open", "/open/", "idempotent", deskName, map[string]any{"public": true}),
 		},
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -119,6 +119,13 @@
 		b.SetReplica(engineReplica("d0", StageDecode, 0))
 		assert.Equal(t, RefuseNoEngine, submit(t, b, 0, request(1, 0, 2000, 1000)).Kind)
 	})
+	t.Run("nor is a leaving one", func(t *testing.T) {
+		b := newBoard(1, 1)
+		r := engineReplica("d0", StageDecode, 0)
+		r.Leaving = true
+		b.SetReplica(r)
+		assert.Equal(t, RefuseNoEngine, submit(t, b, 0, request(1, 0, 2000, 1000)).Kind)
+	})
 	t.Run("a doubtful one is the last resort", func(t *testing.T) {
 		b := newBoard(1, 1)
 		r := engineReplica("d0", StageDecode, 0)
