Keep a copy of the declarations and replicas in a topic of the system's own

Ruled out: a stuck connection of our own (each retry opens another, and the topic of the configuration answers on the same store within milliseconds); peers' knowledge (all have restarted). Change: the VM that ranks first writes what all know to a topic of its own when it has changed; a starting VM takes it until the list itself answers. Two VMs that both think they rank first write the same. Test: TestSiteRestartsWithoutSomeTopics, which fails when the copy is not adopted (mutant).

--- a/app/serve_store.go
+++ b/app/serve_store.go
@@ -103,6 +103,9 @@
 		workers.Go(func() { work(workCtx) })
 	}
 	workers.Go(func() { announce(workCtx, store, cfg, log) })
+	copies := copiesIn(store)
+	workers.Go(func() { control.ReadCopy(workCtx, copies) })
+	workers.Go(func() { control.KeepCopy(workCtx, copies) })
 	defer workers.Wait()
 	defer stopWork()
 	log.Info("started", zap.String("Incarnation", self.Incarnation), zap.String("Version", Version), zap.String("Callers", cfg.Listen.Callers),
@@ -167,6 +170,20 @@
 	}
 }
 
+// copiesIn keeps the copy of what VMs know in a topic of the store.
+func copiesIn(store *platform.Store) gateway.Copies {
+	topic := store.Topic(platform.TopicCopy)
+	return gateway.Copies{
+		Put: func(ctx context.Context, key string, value []byte) error {
+			return store.Put(ctx, platform.TopicCopy, key, value)
+		},
+		Newest: func(ctx context.Context) ([]follow.Record, error) {
+			records, _, err := topic.Newest(ctx)
+			return records, err
+		},
+	}
+}
+
 // announce writes where this VM is reached, so that the others find it.
 func announce(ctx context.Context, store *platform.Store, cfg settings.Settings, log *zap.Logger) {
 	record, err := json.Marshal(gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone})
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -22,6 +22,8 @@
 	trustFrom time.Time
 	// doubtful are replicas whose entries vanished before that.
 	doubtful map[string]bool
+	// listed says that the list has been read.
+	listed bool
 }
 
 func newReplicaList() replicaList {
@@ -74,6 +76,7 @@
 }
 
 func (c *Controller) applyReplicas(now time.Time, update ReplicaUpdate) {
+	c.replicas.listed = true
 	if update.Outage > 0 {
 		c.replicas.trustFrom = now.Add(returnGrace)
 	}
--- a/integration/site_life_test.go
+++ b/integration/site_life_test.go
@@ -298,3 +298,28 @@
 	s.awaitServing(s.vms[0])
 	s.eventually(4*time.Second, "its return is noticed", func() bool { return len(s.lines(s.vms[1], "vm-heard", "Peer=vm-0")) == 2 })
 }
+
+// TestSiteRestartsWithoutSomeTopics kills all VMs while the store does not answer for the topics that operators and
+// replicas write to.
+func TestSiteRestartsWithoutSomeTopics(t *testing.T) {
+	for _, silent := range [][]string{{"keyed.servers"}, {"keyed.op"}, {"keyed.op", "keyed.servers"}} {
+		t.Run(strings.Join(silent, " and "), func(t *testing.T) {
+			s := newSite(t, 2)
+			s.eventually(5*time.Second, "the copy is written", func() bool { return len(s.lines(s.vms[0], "copy-written")) == 2 })
+			s.store.Silence(silent...)
+			for _, v := range s.vms {
+				s.kill(v)
+			}
+			for _, v := range s.vms {
+				s.start(v)
+			}
+			for _, v := range s.vms {
+				s.eventually(time.Second, v.name+" serves", func() bool { return s.send(v, stream("/review/a")).status == http.StatusOK })
+			}
+			s.store.Silence()
+			s.configure(moveStatus)
+			s.store.PutReplica("s-0", nil)
+			s.eventually(4*time.Second, "what came since is in force", func() bool { return s.servedBy(s.vms[0]) == "x-0" })
+		})
+	}
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -24,6 +24,8 @@
 	mu     sync.Mutex
 	topics map[string]*topic
 	calls  map[string]int
+	// silent are topics whose calls get no answer.
+	silent map[string]bool
 }
 
 // topic is one partition. Records before first have been dropped.
@@ -97,6 +99,16 @@
 	t.first, t.records = t.end(), nil
 }
 
+// Silence makes the calls for some topics go without an answer, and those for all others be answered.
+func (s *Store) Silence(topicNames ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = map[string]bool{}
+	for _, name := range topicNames {
+		s.silent[name] = true
+	}
+}
+
 // Calls returns how many calls of a kind were made.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -121,7 +133,13 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
+		silent := s.silent[r.URL.Query().Get("topic")]
 		s.mu.Unlock()
+		if silent {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		wrapped(w, r)
 	}
 }
