Bound the memory of bodies; refuse at once what no engine can hold

Ruled out: nothing; found by reading. Change: a fifth of the memory for bodies under way, a refusal as not run beyond it; a prompt that no engine holds is refused at once, any other fits an empty engine; lengths guessed where none are stated.

--- a/app/serve_store.go
+++ b/app/serve_store.go
@@ -46,6 +46,10 @@
 	killMargin = 200 * time.Millisecond
 	// memoryShare is the part of the memory limit at which garbage collection becomes eager.
 	memoryShare = 0.7
+	// bodyShare is the part of the memory limit that bodies of requests under way may take.
+	bodyShare = 0.2
+	// unknownMemory is assumed if no memory limit is known, in megabytes.
+	unknownMemory = 1024
 	// storeDialTimeout bounds the opening of a connection to the store.
 	storeDialTimeout = 700 * time.Millisecond
 )
@@ -92,7 +96,7 @@
 		return err
 	}
 	defer closeMetrics()
-	stopCallers, err := gateway.NewServer(control, platform.Protocol(), upstreams, rand.Float64).ListenCallers(cfg.Listen.Callers, failed)
+	stopCallers, err := gateway.NewServer(control, platform.Protocol(), upstreams, rand.Float64, maxBodyMemory(cfg)).ListenCallers(cfg.Listen.Callers, failed)
 	if err != nil {
 		return err
 	}
@@ -116,6 +120,15 @@
 	return leave(cfg, control, stopCallers, log)
 }
 
+// maxBodyMemory returns how much the bodies of requests under way may take, in bytes.
+func maxBodyMemory(cfg settings.Settings) int64 {
+	megabytes := cfg.Store.Memory
+	if megabytes == 0 {
+		megabytes = unknownMemory
+	}
+	return int64(bodyShare * float64(megabytes) * (1 << 20))
+}
+
 // waitForStop reloads the settings at each SIGHUP until ctx is done or a listener fails.
 func waitForStop(ctx context.Context, log *zap.Logger, reload func() (settings.Settings, error), failed <-chan error) error {
 	hangups := make(chan os.Signal, 1)
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -20,6 +20,9 @@
 	maxPrefillAnswer = 64 << 10
 	// fetchMargin is how long before a result lapses it is no longer offered to a further decode engine.
 	fetchMargin = 100 * time.Millisecond
+	// bytesPerToken and unknownOutput, in tokens, are assumed of a request that does not state its lengths.
+	bytesPerToken = 4
+	unknownOutput = 1024
 	// freeTimeout bounds the call that frees a result.
 	freeTimeout = time.Second
 )
@@ -73,12 +76,24 @@
 	return (&Error{Op: "generate", Kind: ErrOverload, Err: failed.err}).withRetryAfter(noUpstreamRetry)
 }
 
+// promptTokens is the length of the prompt in tokens, or a guess by its bytes if the caller did not say.
+func (r *request) promptTokens() int {
+	if r.call.PromptTokens > 0 {
+		return r.call.PromptTokens
+	}
+	return 1 + len(r.body)/bytesPerToken
+}
+
 // expectedOutput is the expected length of the answer in tokens.
 func (r *request) expectedOutput() int {
-	if hint := r.call.OutputHint; hint > 0 && hint < r.call.MaxOutputTokens {
+	longest := r.call.MaxOutputTokens
+	if longest <= 0 {
+		longest = unknownOutput
+	}
+	if hint := r.call.OutputHint; hint > 0 && hint < longest {
 		return hint
 	}
-	return r.call.MaxOutputTokens
+	return longest
 }
 
 // try takes the request once through the queue, prefill and decode.
@@ -86,7 +101,7 @@
 	s, r := g.server, g.r
 	askedAt := s.control.now()
 	decision, id := s.control.place(ctx, placement.Request{
-		Pool: r.pool.Name, PromptTokens: r.call.PromptTokens, OutputTokens: r.expectedOutput(), Priority: r.route.PriorityFor(r.account),
+		Pool: r.pool.Name, PromptTokens: r.promptTokens(), OutputTokens: r.expectedOutput(), Priority: r.route.PriorityFor(r.account),
 		ArrivedAt: r.arrived, TargetAt: r.arrived.Add(r.route.LatencyTarget), GiveUpAt: r.until, Avoid: r.avoid,
 	})
 	defer s.control.release(id)
@@ -96,13 +111,15 @@
 		return nil, s.ended(ctx, r)
 	}
 	s.log.Info("placed", zap.String("Request", r.call.Attempt), zap.Int("Decision", int(decision.Kind)), zap.String("Prefill", decision.Prefill.ID),
-		zap.String("Decode", decision.Decode.ID), zap.Int("Prompt", r.call.PromptTokens), zap.Int("Output", r.expectedOutput()),
+		zap.String("Decode", decision.Decode.ID), zap.Int("Prompt", r.promptTokens()), zap.Int("Output", r.expectedOutput()),
 		zap.Int("MaxOutput", r.call.MaxOutputTokens), zap.Int("Free", decision.Free), zap.Int("Waiting", decision.Waiting), zap.Duration("Waited", waited))
 	switch decision.Kind {
 	case placement.RefuseOverload:
 		return nil, refuse("place", ErrOverload, "no engine comes free in time").withRetryAfter(decision.RetryAfter)
 	case placement.RefuseNoEngine:
-		return nil, refuse("place", ErrNoUpstream, "pool %q has no engines", r.pool.Name).withRetryAfter(decision.RetryAfter)
+		return nil, refuse("place", ErrNoUpstream, "no engine of pool %q is left", r.pool.Name).withRetryAfter(decision.RetryAfter)
+	case placement.RefuseTooLarge:
+		return nil, refuse("place", ErrNoUpstream, "no engine of pool %q holds %d tokens", r.pool.Name, r.promptTokens()).withRetryAfter(decision.RetryAfter)
 	}
 	handle, failed := g.prefill(ctx, decision.Prefill)
 	s.control.prefilled(id, failed == nil)
@@ -160,7 +177,7 @@
 			}
 		}
 		if !found {
-			s.metrics.WastedPrefillTokens.Add(float64(r.call.PromptTokens))
+			s.metrics.WastedPrefillTokens.Add(float64(r.promptTokens()))
 			go s.freeResult(source.Address, handle, r)
 			return failed, nil
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -38,11 +38,13 @@
 	log       *zap.Logger
 	metrics   *metrics.Gateway
 	random    func() float64
+	bodies    bodyMemory
 }
 
-// NewServer returns a server that decides by a controller and reaches upstreams through a client.
-func NewServer(control *Controller, protocol Protocol, upstreams *exchange.Client, random func() float64) *Server {
-	return &Server{control: control, protocol: protocol, upstreams: upstreams, log: control.log, metrics: control.metrics, random: random}
+// NewServer returns a server that decides by a controller and reaches upstreams through a client. maxBodyMemory bounds the
+// bodies of requests under way, in bytes.
+func NewServer(control *Controller, protocol Protocol, upstreams *exchange.Client, random func() float64, maxBodyMemory int64) *Server {
+	return &Server{bodies: bodyMemory{limit: maxBodyMemory}, control: control, protocol: protocol, upstreams: upstreams, log: control.log, metrics: control.metrics, random: random}
 }
 
 // request is one request of a caller on its way.
@@ -63,6 +65,8 @@
 	attempts int
 	avoid    []string
 	notes    []zap.Field
+	// releaseBody gives back the memory that the body takes.
+	releaseBody func()
 }
 
 func (r *request) accountName() string {
@@ -74,11 +78,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, httpRequest *http.Request) {
-	r := &request{http: httpRequest, arrived: s.control.now(), call: s.protocol.ReadCall(httpRequest.Header), target: requestTarget(httpRequest)}
+	r := &request{http: httpRequest, arrived: s.control.now(), call: s.protocol.ReadCall(httpRequest.Header), target: requestTarget(httpRequest), releaseBody: func() {}}
 	r.w = &answerWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
 	if s.control.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { r.releaseBody() }()
 	refusal := s.serve(r)
 	s.note(r, refusal)
 	if refusal == nil {
@@ -187,6 +192,10 @@
 
 // readBody reads the whole body, so that it can be sent to more than one upstream.
 func (s *Server) readBody(r *request) *Error {
+	if !s.bodies.take(r.http.ContentLength) {
+		return refuse("read body", ErrOverload, "too many long bodies are under way").withRetryAfter(noUpstreamRetry)
+	}
+	r.releaseBody = func() { s.bodies.giveBack(r.http.ContentLength) }
 	body := r.http.Body
 	if limit := r.table.Limits.BodyBytes; limit > 0 {
 		body = http.MaxBytesReader(r.w.ResponseWriter, body, limit)
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -69,8 +69,10 @@
 	Start DecisionKind = iota
 	// RefuseOverload says that no engine comes free in time.
 	RefuseOverload
-	// RefuseNoEngine says that the pool has no engines.
+	// RefuseNoEngine says that the pool has no engine that can take the request.
 	RefuseNoEngine
+	// RefuseTooLarge says that no engine of the pool is large enough for the prompt.
+	RefuseTooLarge
 )
 
 // Decision is what was decided of a request.
@@ -169,6 +171,10 @@
 		delete(b.jobs, job.ID)
 		return Decision{ID: job.ID, Kind: RefuseNoEngine, RetryAfter: b.returnAfter(0)}, true
 	}
+	if job.PromptTokens > b.engines[job.Pool].MemoryTokens {
+		delete(b.jobs, job.ID)
+		return Decision{ID: job.ID, Kind: RefuseTooLarge, RetryAfter: b.returnAfter(0)}, true
+	}
 	if !blocked {
 		if p, d := b.pair(now, job, prefills, decodes); p != nil {
 			b.start(now, job, p, d)
@@ -191,6 +197,11 @@
 	return int(memoryShare*float64(b.engines[d.Pool].MemoryTokens)) - d.load().Tokens
 }
 
+// need is the room that must be free for a request: an empty engine is enough for any whose prompt it can hold.
+func (b *Board) need(job *Request) int {
+	return min(job.memory(), int(memoryShare*float64(b.engines[job.Pool].MemoryTokens)))
+}
+
 // pair chooses the prefill and the decode engine together: the prefill that ends soonest, a decode engine with much
 // room, and both in one availability zone if that costs little.
 func (b *Board) pair(now time.Time, job *Request, prefills, decodes []*replica) (bestPrefill, bestDecode *replica) {
@@ -199,7 +210,7 @@
 	for _, d := range decodes {
 		load := d.load()
 		room := b.free(d)
-		if room < job.memory() || load.Requests >= spec.MaxRunning || now.Before(d.fullUntil) {
+		if room < b.need(job) || load.Requests >= spec.MaxRunning || now.Before(d.fullUntil) {
 			continue
 		}
 		fullness := float64(load.Tokens) / float64(max(1, spec.MemoryTokens))
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -209,6 +209,15 @@
 	})
 }
 
+func TestLargestRequests(t *testing.T) {
+	t.Run("one that needs a whole engine gets an empty one", func(t *testing.T) {
+		assert.Equal(t, Start, submit(t, newBoard(1, 1), 0, request(1, 0, memory-1000, 20_000)).Kind)
+	})
+	t.Run("one that no engine can hold is refused at once", func(t *testing.T) {
+		assert.Equal(t, RefuseTooLarge, submit(t, newBoard(1, 1), 0, request(1, 0, memory+1, 10)).Kind)
+	})
+}
+
 func TestAnotherDecodeEngine(t *testing.T) {
 	b := newBoard(1, 3)
 	d := submit(t, b, 0, request(1, 0, 5000, 3000))
