Never say that a request has not run when one upstream may have run it

Cause: found by reading: after one upstream in doubt and a refusal of the next, the last refusal decided the answer: 503 for a request that may have run. It could only happen to requests that may be repeated. Ruled out: calls that may not be repeated (they are not sent on after doubt). Change: a refusal that promises not run becomes 502 if any exchange may have run the request. Conclusion: the promise is now checked in one place.

--- a/gateway/error.go
+++ b/gateway/error.go
@@ -62,6 +62,12 @@
 	return statusOfKind[e.Kind]
 }
 
+// promisesNotRun reports whether the answer says that the request has not run and never will.
+func (e *Error) promisesNotRun() bool {
+	status := e.status()
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 func refuse(op string, kind ErrorKind, format string, args ...any) *Error {
 	return &Error{Op: op, Kind: kind, Err: fmt.Errorf(format, args...)}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -140,8 +140,13 @@
 		serve = s.generate
 	}
 	refusal := serve(ctx, r)
-	if refusal != nil && refusal.Kind == ErrUpstream && ctx.Err() != nil {
+	switch {
+	case refusal == nil:
+		return nil
+	case refusal.Kind == ErrUpstream && ctx.Err() != nil:
 		return s.ended(ctx, r)
+	case refusal.promisesNotRun() && r.attempts > 0:
+		return &Error{Op: refusal.Op, Kind: ErrUpstream, Err: refusal.Err}
 	}
 	return refusal
 }
--- a/integration/site_calls_test.go
+++ b/integration/site_calls_test.go
@@ -110,6 +110,21 @@
 		s.assertNotRun(t, a)
 		assert.NotEmpty(t, a.header.Get("Retry-After"))
 	})
+	t.Run("one may have run it, the other refuses", func(t *testing.T) {
+		s.replicas["s-0"].SetFaults(standin.ReplicaFaults{LoseAnswer: true})
+		inDoubt := 0
+		for range 8 {
+			a := s.send(v, siteCall{path: "/status/a"})
+			if len(s.runsOf(a.attempt)) == 0 {
+				s.assertNotRun(t, a) // The retry budget may be used up.
+				continue
+			}
+			inDoubt++
+			assert.Equal(t, http.StatusBadGateway, a.status)
+		}
+		assert.NotZero(t, inDoubt)
+		s.replicas["s-0"].SetFaults(standin.ReplicaFaults{Refuse: true})
+	})
 	t.Run("all decode engines refuse", func(t *testing.T) {
 		s.replicas["d-0"].SetFaults(standin.ReplicaFaults{Refuse: true})
 		s.replicas["d-1"].SetFaults(standin.ReplicaFaults{Refuse: true})
