Pass over engines that are silent during a prefill; log names in place of numbers

Cause: found by reading: a prefill that got no answer in 1.5 s was counted as a caller that had left, so a silent engine was tried again and again; that a replica is passed over changed what the VM believes without a line. Ruled out: decode (its silence ends with the request's own time). Change: such an engine is passed over at once; the line replica-passed-over; stages and decisions by name. Before: the new case of TestSiteTimeouts fails (no engine passed over); after: passes.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -272,7 +272,12 @@
 
 // failed notes that an upstream failed a request, or could not be reached.
 func (c *Controller) failed(replica placement.Replica, unreachable bool) {
-	c.post(func() { c.board.Failed(c.now(), replica.ID, unreachable) })
+	c.post(func() {
+		if pause := c.board.Failed(c.now(), replica.ID, unreachable); pause > 0 {
+			c.log.Info("replica-passed-over", zap.String("Replica", replica.ID), zap.String("Address", replica.Address),
+				zap.Bool("Unreachable", unreachable), zap.Duration("For", pause))
+		}
+	})
 }
 
 // full notes that an engine had no room for a request.
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -110,7 +110,7 @@
 	if ctx.Err() != nil {
 		return nil, s.ended(ctx, r)
 	}
-	s.log.Info("placed", zap.String("Request", r.call.Attempt), zap.Int("Decision", int(decision.Kind)), zap.String("Prefill", decision.Prefill.ID),
+	s.log.Info("placed", zap.String("Request", r.call.Attempt), zap.Stringer("Decision", decision.Kind), zap.String("Prefill", decision.Prefill.ID),
 		zap.String("Decode", decision.Decode.ID), zap.Int("Prompt", r.promptTokens()), zap.Int("Output", r.expectedOutput()),
 		zap.Int("MaxOutput", r.call.MaxOutputTokens), zap.Int("Free", decision.Free), zap.Int("Waiting", decision.Waiting), zap.Duration("Waited", waited))
 	switch decision.Kind {
@@ -132,10 +132,14 @@
 // prefill has the prompt read, and returns the handle of the result.
 func (g *generation) prefill(ctx context.Context, at placement.Replica) (string, *attemptFailure) {
 	s, r := g.server, g.r
-	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
-	resp, failed := s.exchange(ctx, r, at, Hop{Replica: at.ID, Account: r.accountName(), Stage: placement.StagePrefill, LastEvent: g.lastEvent})
+	resp, failed := s.exchange(prefillCtx, r, at, Hop{Replica: at.ID, Account: r.accountName(), Stage: placement.StagePrefill, LastEvent: g.lastEvent})
 	if failed != nil {
+		if prefillCtx.Err() != nil && ctx.Err() == nil {
+			// An engine that is silent for so long is as good as unreachable.
+			s.control.failed(at, true)
+		}
 		// Reading a prompt is no run.
 		failed.mayHaveRun = false
 		return "", failed
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -96,7 +96,7 @@
 		}
 		c.board.SetReplica(replica)
 		c.log.Info("replica-listed", zap.String("Replica", replica.ID), zap.String("Pool", replica.Pool), zap.String("Address", replica.Address),
-			zap.String("Zone", replica.Zone), zap.Int("Stage", int(replica.Stage)), zap.Bool("Leaving", replica.Leaving))
+			zap.String("Zone", replica.Zone), zap.Stringer("Stage", replica.Stage), zap.Bool("Leaving", replica.Leaving))
 	}
 	for _, id := range update.Removed {
 		if replica, exists := known[id]; exists {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -129,7 +129,7 @@
 	}
 	resp.Close()
 	s.log.Info("upstream-refused", zap.String("Request", r.call.Attempt), zap.String("Replica", to.ID), zap.Int("Status", resp.Status),
-		zap.Bool("Misdirected", verdict.Misdirected), zap.Int("Stage", int(hop.Stage)))
+		zap.Bool("Misdirected", verdict.Misdirected), zap.Stringer("Stage", hop.Stage))
 	s.metrics.UpstreamFailures.WithLabelValues(r.pool.Name, "Refused").Inc()
 	if verdict.Misdirected {
 		s.control.replaced(to)
@@ -157,7 +157,7 @@
 		kind = string(exchangeErr.Kind)
 	}
 	s.log.Info("upstream-failed", zap.String("Request", r.call.Attempt), zap.String("Replica", to.ID), zap.String("Address", to.Address),
-		zap.Int("Stage", int(hop.Stage)), zap.String("Kind", kind), zap.Duration("After", s.control.now().Sub(sentAt)), zap.Error(err))
+		zap.Stringer("Stage", hop.Stage), zap.String("Kind", kind), zap.Duration("After", s.control.now().Sub(sentAt)), zap.Error(err))
 	s.metrics.UpstreamFailures.WithLabelValues(r.pool.Name, kind).Inc()
 	if ctx.Err() == nil {
 		s.control.failed(to, unsent)
--- a/integration/site_calls_test.go
+++ b/integration/site_calls_test.go
@@ -236,6 +236,15 @@
 		assert.Equal(t, http.StatusGatewayTimeout, a.status)
 		assert.Less(t, a.took, 800*time.Millisecond)
 	})
+	t.Run("of a prefill", func(t *testing.T) {
+		s.replicas["p-0"].SetFaults(standin.ReplicaFaults{Silent: true})
+		s.replicas["p-1"].SetFaults(standin.ReplicaFaults{Silent: true})
+		a := s.send(s.vms[0], stream("/review/a"))
+		s.assertNotRun(t, a)
+		for _, id := range []string{"p-0", "p-1"} {
+			s.eventually(time.Second, id+" is passed over", func() bool { return len(s.lines(s.vms[0], "replica-passed-over", "Replica="+id)) > 0 })
+		}
+	})
 	t.Run("of the route", func(t *testing.T) {
 		s.configure(func(c *configuration) { c.Routes[2]["timeoutMs"] = 400 })
 		time.Sleep(siteBound)
--- a/placement/board.go
+++ b/placement/board.go
@@ -124,18 +124,12 @@
 	return loads
 }
 
-// Reachable notes that a replica answered a request.
-func (b *Board) Reachable(id string) {
+// Failed notes that a replica failed a request, or could not be reached, and returns for how long it is passed over.
+func (b *Board) Failed(now time.Time, id string, unreachable bool) time.Duration {
 	if r := b.replicas[id]; r != nil {
-		r.succeeded()
-	}
-}
-
-// Failed notes that a replica failed a request, or could not be reached.
-func (b *Board) Failed(now time.Time, id string, unreachable bool) {
-	if r := b.replicas[id]; r != nil {
-		r.failed(now, unreachable)
+		return r.failed(now, unreachable)
 	}
+	return 0
 }
 
 // Replaced notes that another replica answers at the address of one. Its entry outlives it by some heartbeats.
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -75,6 +75,11 @@
 	RefuseTooLarge
 )
 
+// String returns the name of the kind.
+func (k DecisionKind) String() string {
+	return [...]string{"Start", "RefuseOverload", "RefuseNoEngine", "RefuseTooLarge"}[k]
+}
+
 // Decision is what was decided of a request.
 type Decision struct {
 	ID      uint64
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -14,6 +14,8 @@
 	// firstPause and longestPause bound how long a replica that fails is passed over.
 	firstPause   = 500 * time.Millisecond
 	longestPause = 4 * time.Second
+	// maxDoublings take the first pause to the longest.
+	maxDoublings = 3
 	// failuresToPause in a row of a reachable replica make it be passed over.
 	failuresToPause = 3
 )
@@ -28,6 +30,9 @@
 	StageDecode
 )
 
+// String returns the name of the stage.
+func (s Stage) String() string { return [...]string{"None", "Prefill", "Decode"}[s] }
+
 // Replica is an upstream as it is listed.
 type Replica struct {
 	ID      string
@@ -99,14 +104,16 @@
 
 func (r *replica) succeeded() { r.failures = 0 }
 
-// failed notes a failed request. A replica that could not be reached at all is passed over at once.
-func (r *replica) failed(now time.Time, unreachable bool) {
+// failed notes a failed request, and returns for how long the replica is passed over. One that could not be reached at
+// all is passed over at once.
+func (r *replica) failed(now time.Time, unreachable bool) time.Duration {
 	r.failures++
 	if !unreachable && r.failures < failuresToPause {
-		return
+		return 0
 	}
-	pause := firstPause << min(r.failures-1, 3)
-	r.passedUntil = now.Add(min(pause, longestPause))
+	pause := min(firstPause<<min(r.failures-1, maxDoublings), longestPause)
+	r.passedUntil = now.Add(pause)
+	return pause
 }
 
 func (r *replica) learnRate(tokens int, took time.Duration) {
