Refuse as soon as the wait is foreseen; choose no request that would start late

Ruled out: memory (4 preemptions) and the number of served requests (unchanged); a 250 ms margin (no better than 150). Change: late is a request whose prefill and first event cannot be in time; VMs tell each other what memory waits, and a request is refused when what waits before it cannot come free within its patience, with that time as Retry-After. Tests: TestOverloadDoesNotTakeFromThoseInTime, TestRefusedCallersAreNotKeptWaiting, TestRefusals; mutants late-when-chosen, wait-not-foreseen.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -214,6 +214,7 @@
 		r.ID = c.lastID
 		c.placing[r.ID] = decided
 		c.board.Submit(r)
+		c.beacon.dirty = true
 		return r.ID
 	})
 	select {
@@ -228,7 +229,7 @@
 func (c *Controller) release(id uint64) {
 	c.post(func() {
 		delete(c.placing, id)
-		c.board.Withdraw(id)
+		c.board.Withdraw(c.now(), id)
 		c.beacon.dirty = true
 	})
 }
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -112,7 +112,8 @@
 	}
 	s.log.Info("placed", zap.String("Request", r.call.Attempt), zap.Stringer("Decision", decision.Kind), zap.String("Prefill", decision.Prefill.ID),
 		zap.String("Decode", decision.Decode.ID), zap.Int("Prompt", r.promptTokens()), zap.Int("Output", r.expectedOutput()),
-		zap.Int("MaxOutput", r.call.MaxOutputTokens), zap.Int("Free", decision.Free), zap.Int("Waiting", decision.Waiting), zap.Duration("Waited", waited))
+		zap.Int("MaxOutput", r.call.MaxOutputTokens), zap.Int("Free", decision.Free), zap.Int("Waiting", decision.Waiting), zap.Duration("Waited", waited),
+		zap.Duration("Wait", decision.Wait))
 	switch decision.Kind {
 	case placement.RefuseOverload:
 		return nil, refuse("place", ErrOverload, "no engine comes free in time").withRetryAfter(decision.RetryAfter)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -132,6 +132,7 @@
 	p.incarnation, p.sequence, p.heardAt, p.silent, p.leaving, p.version = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version
 	c.keeper.Heard(now, run, b.Spent, late)
 	c.board.SetPeerLoads(b.VM, b.Loads)
+	c.board.SetPeerWaiting(b.VM, b.Waiting)
 	for _, id := range b.Replaced {
 		c.board.Replaced(id)
 	}
@@ -160,6 +161,7 @@
 		if since > silentAfter && !p.silent {
 			p.silent = true
 			c.board.SetPeerLoads(name, nil)
+			c.board.SetPeerWaiting(name, nil)
 			if !p.heardAt.IsZero() {
 				c.log.Warn("vm-silent", zap.String("Peer", name), zap.Duration("Silence", since), zap.Bool("Leaving", p.leaving))
 			}
@@ -194,7 +196,7 @@
 		version = table.Version
 	}
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
-		Leaving: c.leaving.Load(), Loads: c.board.OwnLoads(), Spent: c.keeper.Spent(), Replaced: c.board.ReplacedIDs()}
+		Leaving: c.leaving.Load(), Loads: c.board.OwnLoads(), Waiting: c.board.WaitingMemory(), Spent: c.keeper.Spent(), Replaced: c.board.ReplacedIDs()}
 	if err := c.sendBeacon(b, to); err != nil {
 		c.log.Debug("beacon-not-sent", zap.Error(err))
 	}
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -33,6 +33,8 @@
 	Leaving bool
 	// Loads are the requests that it has under way at engines, by replica.
 	Loads map[string]placement.Load
+	// Waiting is the memory of decode engines that waiting requests need, in tokens, by pool.
+	Waiting map[string]int
 	// Spent are the tokens admitted since the start of the process, by account.
 	Spent map[string]float64
 	// Replaced are the listed replicas at whose addresses others answer.
@@ -46,13 +48,14 @@
 	Version         uint64
 	Leaving         bool               `json:",omitempty"`
 	Loads           map[string][2]int  `json:",omitempty"`
+	Waiting         map[string]int     `json:",omitempty"`
 	Spent           map[string]float64 `json:",omitempty"`
 	Replaced        []string           `json:",omitempty"`
 }
 
 func encodeBeacon(b Beacon) ([]byte, error) {
 	m := beaconMessage{VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version,
-		Leaving: b.Leaving, Spent: b.Spent, Replaced: b.Replaced, Loads: make(map[string][2]int, len(b.Loads))}
+		Leaving: b.Leaving, Waiting: b.Waiting, Spent: b.Spent, Replaced: b.Replaced, Loads: make(map[string][2]int, len(b.Loads))}
 	for id, load := range b.Loads {
 		m.Loads[id] = [2]int{load.Requests, load.Tokens}
 	}
@@ -79,7 +82,7 @@
 		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: errors.New("it names no VM")}
 	}
 	b := Beacon{VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: time.Duration(m.UptimeMillis) * time.Millisecond,
-		Version: m.Version, Leaving: m.Leaving, Spent: m.Spent, Replaced: m.Replaced, Loads: make(map[string]placement.Load, len(m.Loads))}
+		Version: m.Version, Leaving: m.Leaving, Waiting: m.Waiting, Spent: m.Spent, Replaced: m.Replaced, Loads: make(map[string]placement.Load, len(m.Loads))}
 	for id, load := range m.Loads {
 		b.Loads[id] = placement.Load{Requests: load[0], Tokens: load[1]}
 	}
--- a/placement/board.go
+++ b/placement/board.go
@@ -21,6 +21,7 @@
 	replicas map[string]*replica
 	pools    map[string][]*replica
 	engines  map[string]routing.EngineSpec
+	queues   map[string]*queue
 	waiting  []*Request
 	jobs     map[uint64]*Request
 	random   func() float64
@@ -28,7 +29,7 @@
 
 // NewBoard returns a board without replicas for a VM in an availability zone. random returns numbers in [0, 1).
 func NewBoard(zone string, random func() float64) *Board {
-	return &Board{zone: zone, replicas: map[string]*replica{}, pools: map[string][]*replica{}, engines: map[string]routing.EngineSpec{},
+	return &Board{zone: zone, replicas: map[string]*replica{}, pools: map[string][]*replica{}, engines: map[string]routing.EngineSpec{}, queues: map[string]*queue{},
 		jobs: map[uint64]*Request{}, random: random}
 }
 
@@ -38,6 +39,9 @@
 	for _, pool := range pools {
 		if pool.Engine != nil {
 			b.engines[pool.Name] = *pool.Engine
+			if b.queues[pool.Name] == nil {
+				b.queues[pool.Name] = newQueue()
+			}
 		}
 	}
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -23,8 +23,8 @@
 	// outputShare is the part of the expected answer that counts as memory of a decode engine. Requests that run out of
 	// memory are preempted, and their prompts read again.
 	outputShare = 0.8
-	// startMargin is the time besides prefill that a request needs to its first event.
-	startMargin = 60 * time.Millisecond
+	// startMargin is the time besides prefill that a request needs to its first event, and some to spare.
+	startMargin = 150 * time.Millisecond
 	// fullPause is how long an engine that said it is full is not offered more.
 	fullPause = 250 * time.Millisecond
 	// latePatience is how long past its latency target a request is kept waiting for engines.
@@ -52,8 +52,11 @@
 	Avoid []string
 
 	prefill, decode string
-	startedAt       time.Time
-	ahead           int
+	// startedAt is when engines were chosen, or zero while the request waits.
+	startedAt time.Time
+	ahead     int
+	// late says that the first event cannot be in time any more.
+	late bool
 }
 
 // memory is the room that a request is given at a decode engine. Answers grow while others end, so that few are at
@@ -88,6 +91,8 @@
 	Decode  Replica
 	// RetryAfter is when the caller may return after a refusal.
 	RetryAfter time.Duration
+	// Wait is how long a refused request would have waited.
+	Wait time.Duration
 	// Waiting is how many requests were waiting, and Free the tokens free at the chosen decode engine.
 	Waiting int
 	Free    int
@@ -101,13 +106,14 @@
 }
 
 // Withdraw forgets a request and frees what it holds.
-func (b *Board) Withdraw(id uint64) {
+func (b *Board) Withdraw(now time.Time, id uint64) {
 	job := b.jobs[id]
 	if job == nil {
 		return
 	}
 	delete(b.jobs, id)
 	b.waiting = slices.DeleteFunc(b.waiting, func(other *Request) bool { return other == job })
+	b.queues[job.Pool].ended(now, job)
 	b.freePrefill(job)
 	b.freeDecode(job)
 }
@@ -135,20 +141,25 @@
 	if len(b.waiting) == 0 {
 		return nil
 	}
+	for _, job := range b.waiting {
+		job.late = now.Add(b.timeToStart(now, job)).After(job.TargetAt)
+	}
 	slices.SortStableFunc(b.waiting, func(x, y *Request) int {
-		return cmp.Or(compareBool(x.late(now), y.late(now)), cmp.Compare(x.Priority, y.Priority), x.ArrivedAt.Compare(y.ArrivedAt))
+		return cmp.Or(compareBool(x.late, y.late), cmp.Compare(x.Priority, y.Priority), x.ArrivedAt.Compare(y.ArrivedAt))
 	})
 	var decisions []Decision
 	var kept []*Request
 	blocked := map[string]bool{}
+	ahead := map[string]int{}
 	for _, job := range b.waiting {
-		decision, decided := b.decide(now, job, blocked[job.Pool])
+		decision, decided := b.decide(now, job, blocked[job.Pool], ahead[job.Pool])
 		if decided {
 			decision.Waiting = len(b.waiting)
 			decisions = append(decisions, decision)
 			continue
 		}
 		blocked[job.Pool] = true
+		ahead[job.Pool] += b.need(job)
 		kept = append(kept, job)
 	}
 	b.waiting = kept
@@ -165,11 +176,20 @@
 	return 1
 }
 
-func (r *Request) late(now time.Time) bool { return now.Add(startMargin).After(r.TargetAt) }
+// timeToStart predicts how long a request takes to its first event if engines are chosen now.
+func (b *Board) timeToStart(now time.Time, job *Request) time.Duration {
+	soonest := time.Duration(0)
+	for _, p := range b.candidates(now, job.Pool, StagePrefill, job.Avoid) {
+		if took := prefillTime(p, job.PromptTokens); soonest == 0 || took < soonest {
+			soonest = took
+		}
+	}
+	return soonest + startMargin
+}
 
-// decide starts or refuses a request, or leaves it waiting. Behind a request that waits for room nothing else
-// starts, so that large requests are not passed by small ones for ever.
-func (b *Board) decide(now time.Time, job *Request, blocked bool) (Decision, bool) {
+// decide starts or refuses a request, or leaves it waiting behind others that need some memory. Behind a request that
+// waits for room nothing else starts, so that large requests are not passed by small ones for ever.
+func (b *Board) decide(now time.Time, job *Request, blocked bool, ahead int) (Decision, bool) {
 	prefills := b.candidates(now, job.Pool, StagePrefill, job.Avoid)
 	decodes := b.candidates(now, job.Pool, StageDecode, job.Avoid)
 	if len(prefills) == 0 || len(decodes) == 0 {
@@ -186,9 +206,10 @@
 			return Decision{ID: job.ID, Kind: Start, Prefill: p.Replica, Decode: d.Replica, Free: b.free(d)}, true
 		}
 	}
-	if now.After(job.TargetAt.Add(latePatience)) || !now.Before(job.GiveUpAt) {
+	wait := b.queues[job.Pool].wait(ahead+b.need(job), b.poolMemory(decodes))
+	if now.Add(wait).After(job.TargetAt.Add(latePatience)) || !now.Before(job.GiveUpAt) {
 		delete(b.jobs, job.ID)
-		return Decision{ID: job.ID, Kind: RefuseOverload, RetryAfter: b.returnAfter(0)}, true
+		return Decision{ID: job.ID, Kind: RefuseOverload, RetryAfter: b.returnAfter(wait), Wait: wait}, true
 	}
 	return Decision{}, false
 }
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -44,6 +44,8 @@
 // outcome is what callers got of a load.
 type outcome struct {
 	asked, inTime, late, refused, preempted int
+	// refusedAfter is how long refused callers were kept waiting, all together.
+	refusedAfter time.Duration
 }
 
 // simulatedEngine holds answers until its memory runs out. Then the newest is preempted and begins again.
@@ -104,24 +106,26 @@
 	}
 }
 
-// playLoad plays the load on a board that counts a share of the expected answer as memory.
-func playLoad(seed uint64, share float64) outcome {
+// playLoad plays some times the load on a board that counts a share of the expected answer as memory.
+func playLoad(seed uint64, share, times float64) outcome {
 	random := rand.New(rand.NewPCG(seed, 1))
 	b := newBoard(3, 0)
 	spec := b.engines[enginePool]
 	spec.MemoryTokens, spec.MaxRunning = loadMemory, 64
 	b.engines[enginePool] = spec
 	engines := map[string]*simulatedEngine{}
+	var ids []string
 	for i := range loadEngines {
 		r := engineReplica(string(rune('a'+i)), StageDecode, i)
 		b.SetReplica(r)
 		engines[r.ID] = &simulatedEngine{}
+		ids = append(ids, r.ID)
 	}
 	var o outcome
 	var next uint64
 	waiting := map[uint64]*running{}
 	for now := start; now.Before(at(loadSeconds * time.Second)); now = now.Add(loadStep) {
-		rate := loadPerSecond
+		rate := times * loadPerSecond
 		if second := int(now.Sub(start).Seconds()); second%10 >= 6 {
 			rate *= burstFactor
 		}
@@ -140,6 +144,7 @@
 			delete(waiting, d.ID)
 			if d.Kind != Start {
 				o.refused++
+				o.refusedAfter += now.Sub(a.dueAt.Add(-firstEventAim))
 				continue
 			}
 			took := time.Duration(float64(a.prompt) / prefillRate * float64(time.Second))
@@ -147,32 +152,54 @@
 			b.Prefilled(now.Add(took), d.ID, true)
 			engines[d.Decode.ID].answers = append(engines[d.Decode.ID].answers, a)
 		}
-		for _, e := range engines {
-			e.step(now, &o, func(a *running) { b.Withdraw(a.id) })
+		for _, id := range ids {
+			engines[id].step(now, &o, func(a *running) { b.Withdraw(now, a.id) })
 		}
 	}
 	return o
 }
 
+// playLoads plays the load with several seeds and adds the outcomes up.
+func playLoads(share, times float64) outcome {
+	var total outcome
+	for seed := range uint64(8) {
+		o := playLoad(seed, share, times)
+		total.asked += o.asked
+		total.inTime += o.inTime
+		total.late += o.late
+		total.refused += o.refused
+		total.preempted += o.preempted
+		total.refusedAfter += o.refusedAfter
+	}
+	return total
+}
+
 // TestAnswersThatGrowLeaveRoomForOthers plays bursts on decode engines of scarce memory. Giving each request the whole
 // of its expected answer leaves memory idle; giving it too little has answers preempted midway.
 func TestAnswersThatGrowLeaveRoomForOthers(t *testing.T) {
-	sum := func(share float64) outcome {
-		var total outcome
-		for seed := range uint64(8) {
-			o := playLoad(seed, share)
-			total.asked += o.asked
-			total.inTime += o.inTime
-			total.late += o.late
-			total.refused += o.refused
-			total.preempted += o.preempted
-		}
-		return total
-	}
-	chosen, whole, little := sum(outputShare), sum(1), sum(0.4)
+	chosen, whole, little := playLoads(outputShare, 1), playLoads(1, 1), playLoads(0.4, 1)
 	t.Logf("chosen %+v, whole %+v, little %+v", chosen, whole, little)
 	assert.Greater(t, chosen.inTime, whole.inTime, "more callers are in time than with the whole answer reserved")
 	assert.Less(t, chosen.refused, whole.refused)
 	assert.Less(t, chosen.preempted*50, chosen.asked, "fewer than one in 50 is preempted")
 	assert.Less(t, chosen.preempted, little.preempted)
 }
+
+// TestRefusedCallersAreNotKeptWaiting plays two and a half times the load, at which most callers cannot be served. Without
+// foresight they would all wait until their patience has run out.
+func TestRefusedCallersAreNotKeptWaiting(t *testing.T) {
+	total := playLoads(outputShare, 2.5)
+	mean := total.refusedAfter / time.Duration(total.refused)
+	t.Logf("%+v, refused after %v", total, mean)
+	assert.Greater(t, total.refused, total.asked/3)
+	assert.Less(t, mean, (firstEventAim+latePatience)/2)
+}
+
+// TestOverloadDoesNotTakeFromThoseInTime plays the load and two and a half times the load. Engines must not be given to
+// requests that were in time when chosen and late when they started.
+func TestOverloadDoesNotTakeFromThoseInTime(t *testing.T) {
+	usual, overload := playLoads(outputShare, 1), playLoads(outputShare, 2.5)
+	t.Logf("usual %+v, overload %+v", usual, overload)
+	assert.GreaterOrEqual(t, overload.inTime, usual.inTime)
+	assert.Less(t, overload.late*10, overload.inTime)
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -147,7 +147,7 @@
 	b.Submit(request(9, 0, 5000, 5000))
 	assert.Empty(t, b.Poll(at(0)), "the memory is given out")
 	t.Run("until a request ends", func(t *testing.T) {
-		b.Withdraw(3)
+		b.Withdraw(at(0), 3)
 		decisions := b.Poll(at(100 * time.Millisecond))
 		require.Len(t, decisions, 1)
 		assert.Equal(t, uint64(9), decisions[0].ID)
@@ -160,7 +160,7 @@
 	b.Submit(request(2, 0, 20_000, 5000))
 	b.Submit(request(3, time.Millisecond, 1000, 500))
 	assert.Empty(t, b.Poll(at(2*time.Millisecond)))
-	b.Withdraw(1)
+	b.Withdraw(at(0), 1)
 	decisions := b.Poll(at(3 * time.Millisecond))
 	require.Len(t, decisions, 2)
 	assert.Equal(t, uint64(2), decisions[0].ID)
@@ -173,7 +173,7 @@
 		return b
 	}
 	first := func(b *Board, now time.Duration) uint64 {
-		b.Withdraw(1)
+		b.Withdraw(at(0), 1)
 		decisions := b.Poll(at(now))
 		require.NotEmpty(t, decisions)
 		return decisions[0].ID
@@ -204,6 +204,22 @@
 	assert.Equal(t, RefuseOverload, decisions[0].Kind)
 	assert.GreaterOrEqual(t, decisions[0].RetryAfter, shortestReturn)
 	assert.Zero(t, b.Waiting())
+	t.Run("as soon as the wait is foreseen to be too long", func(t *testing.T) {
+		b := newBoard(1, 1)
+		require.Equal(t, Start, submit(t, b, 0, request(1, 0, 70_000, 3000)).Kind)
+		for id := range uint64(30) {
+			b.Submit(request(id+2, 0, 5000, 3000))
+		}
+		decisions := b.Poll(at(0))
+		require.NotEmpty(t, decisions)
+		assert.NotZero(t, b.Waiting())
+		for _, d := range decisions {
+			assert.Equal(t, RefuseOverload, d.Kind)
+			assert.GreaterOrEqual(t, d.RetryAfter, d.Wait, "the caller is told to return when the queue has gone")
+		}
+		b.SetPeerWaiting("vm-2", map[string]int{enginePool: 50 * 8000})
+		assert.Len(t, b.Poll(at(0)), 30-len(decisions), "requests that wait at other VMs count too")
+	})
 	t.Run("at once without engines", func(t *testing.T) {
 		assert.Equal(t, RefuseNoEngine, submit(t, newBoard(0, 1), 0, request(1, 0, 5000, 3000)).Kind)
 	})
@@ -239,8 +255,8 @@
 	b.Submit(request(2, 100*time.Millisecond, 5000, 3000))
 	assert.Empty(t, b.Poll(at(110*time.Millisecond)), "full engines get nothing for a while")
 	assert.Len(t, b.Poll(at(100*time.Millisecond+fullPause)), 1)
-	b.Withdraw(2)
-	b.Withdraw(1)
+	b.Withdraw(at(0), 2)
+	b.Withdraw(at(0), 1)
 	assert.Empty(t, b.OwnLoads(), "a request that ended holds nothing")
 }
 
@@ -253,7 +269,7 @@
 			took = 60 * time.Millisecond
 		}
 		b.Prefilled(at(took), d.ID, true)
-		b.Withdraw(d.ID)
+		b.Withdraw(at(took), d.ID)
 	}
 	assert.Equal(t, "p1", submit(t, b, time.Second, request(99, time.Second, 5000, 100)).Prefill.ID)
 }
