--- a/follow/follow.go
+++ b/follow/follow.go
@@ -60,7 +60,7 @@
 	pace    time.Duration
 	log     *zap.Logger
 	now     func() time.Time
-	nudges  chan struct{}
+	nudges  <-chan struct{}
 
 	next       uint64
 	whole      bool
@@ -80,26 +80,21 @@
 // WithExpired sets how an error is told that says that old records are no longer kept.
 func WithExpired(expired func(error) bool) Option { return func(f *Follower) { f.expired = expired } }
 
+// WithNudges sets a channel whose signals make the follower read at once, because there seems to be something newer.
+func WithNudges(nudges <-chan struct{}) Option { return func(f *Follower) { f.nudges = nudges } }
+
 // WithLogger sets where the loss and the return of the store are logged.
 func WithLogger(log *zap.Logger) Option { return func(f *Follower) { f.log = log } }
 
 // New returns a follower that passes what it reads to apply.
 func New(topic Topic, apply func(Batch), opts ...Option) *Follower {
-	f := &Follower{topic: topic, apply: apply, expired: func(error) bool { return false }, log: zap.NewNop(), now: time.Now, nudges: make(chan struct{}, 1)}
+	f := &Follower{topic: topic, apply: apply, expired: func(error) bool { return false }, log: zap.NewNop(), now: time.Now}
 	for _, opt := range opts {
 		opt(f)
 	}
 	return f
 }
 
-// Nudge makes the follower read at once, because there seems to be something newer.
-func (f *Follower) Nudge() {
-	select {
-	case f.nudges <- struct{}{}:
-	default:
-	}
-}
-
 // Run reads until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -170,12 +170,13 @@
 	})
 	t.Run("reads at once when nudged out of a connection that is silent", func(t *testing.T) {
 		topic := &fakeTopic{}
-		f, got := startFollower(t, topic, WithWait(20*time.Second))
+		nudges := make(chan struct{}, 1)
+		_, got := startFollower(t, topic, WithWait(20*time.Second), WithNudges(nudges))
 		eventually(t, "a read", func() bool { topic.mu.Lock(); defer topic.mu.Unlock(); return topic.reads > 0 })
 		topic.set(func() { topic.hang = true })
 		topic.put("a", "1")
 		time.Sleep(10 * time.Millisecond)
-		f.Nudge()
+		nudges <- struct{}{}
 		eventually(t, "the record", func() bool { return got.value("a") == "1" })
 	})
 	t.Run("keeps its pace", func(t *testing.T) {
