Keep the platform's names in the adapter and the stand-ins

Cause: tests of whole sites spelled headers and fields of the users' pages themselves. Ruled out: nothing. Change: standin holds them.

--- a/integration/site_calls_test.go
+++ b/integration/site_calls_test.go
@@ -36,20 +36,20 @@
 func TestSiteForwardsRequestsUnchanged(t *testing.T) {
 	s := newSite(t, 1)
 	a := s.send(s.vms[0], siteCall{method: "PATCH", path: "/release/a%2Fb//c?x=%20&y", body: "the body", timeout: 3 * time.Second, header: map[string]string{
-		"X-Own": "kept", "Tenant": "clinics", "Target-Instance": "s-9", "Kv-Hold": "h", "Inference-Stage": "prefill", "Request-Priority": "0", "Connection": "X-Gone", "X-Gone": "1"}})
+		"X-Own": "kept", standin.HeaderAccount: "clinics", standin.HeaderReplica: "s-9", standin.HeaderHold: "h", standin.HeaderStage: "prefill", standin.HeaderPriority: "0", "Connection": "X-Gone", "X-Gone": "1"}})
 	assertAnswered(t, a, standin.ServiceAnswer(a.attempt))
 	runs := s.runsOf(a.attempt)
 	require.Len(t, runs, 1)
 	run := runs[0]
 	assert.Equal(t, "PATCH /release/a%2Fb//c?x=%20&y the body", strings.Join([]string{run.Method, run.Target, run.Body}, " "))
 	assert.Equal(t, "kept", run.Header.Get("X-Own"))
-	assert.Equal(t, "schools", run.Header.Get("Tenant"), "the account is that of the key")
-	for _, name := range []string{"Authorization", "X-Gone", "Kv-Hold", "Inference-Stage", "Request-Priority"} {
+	assert.Equal(t, "schools", run.Header.Get(standin.HeaderAccount), "the account is that of the key")
+	for _, name := range []string{"Authorization", "X-Gone", standin.HeaderHold, standin.HeaderStage, standin.HeaderPriority} {
 		assert.Empty(t, run.Header.Get(name), name)
 	}
 	assert.NotContains(t, fmt.Sprint(run.Header), schoolsKey)
 	var left int
-	_, err := fmt.Sscan(run.Header.Get("Deadline-Ms"), &left)
+	_, err := fmt.Sscan(run.Header.Get(standin.HeaderTimeout), &left)
 	assert.NoError(t, err)
 	assert.InDelta(t, 2900, left, 100, "what is left of the caller's time")
 }
@@ -167,7 +167,7 @@
 		})
 	}
 	t.Run("a key that is taken away stops", func(t *testing.T) {
-		s.configure(func(c *configuration) { c.Tenants[1]["apiKeys"] = []string{} })
+		s.configure(func(c *standin.Configuration) { c.Tenants[1]["apiKeys"] = []string{} })
 		time.Sleep(siteBound)
 		for _, v := range s.vms {
 			assert.Equal(t, http.StatusUnauthorized, s.send(v, siteCall{path: "/status/a", key: clinicsKey}).status)
@@ -179,7 +179,7 @@
 func TestSiteKeepsAccountsWithinTheirRate(t *testing.T) {
 	s := newSite(t, 3)
 	const rate, burst, cost = 4000.0, 2000.0, 200.0
-	s.configure(func(c *configuration) { c.Tenants[0]["ratePerS"], c.Tenants[0]["burst"] = rate, burst })
+	s.configure(func(c *standin.Configuration) { c.Tenants[0]["ratePerS"], c.Tenants[0]["burst"] = rate, burst })
 	time.Sleep(siteBound)
 	var served, refused atomic.Int64
 	began := time.Now()
@@ -246,7 +246,7 @@
 		}
 	})
 	t.Run("of the route", func(t *testing.T) {
-		s.configure(func(c *configuration) { c.Routes[2]["timeoutMs"] = 400 })
+		s.configure(func(c *standin.Configuration) { c.Routes[2]["timeoutMs"] = 400 })
 		time.Sleep(siteBound)
 		a := s.send(s.vms[0], siteCall{method: http.MethodPost, path: "/release/a"})
 		assert.Equal(t, http.StatusGatewayTimeout, a.status)
--- a/integration/site_life_test.go
+++ b/integration/site_life_test.go
@@ -18,11 +18,11 @@
 )
 
 // moveStatus sends the status route to another pool.
-func moveStatus(c *configuration) { c.Routes[3]["service"] = spareName }
+func moveStatus(c *standin.Configuration) { c.Routes[3]["service"] = spareName }
 
 // servedBy returns which replica answers a status call.
 func (s *site) servedBy(v *storeVM) string {
-	return strings.TrimPrefix(s.send(v, siteCall{path: "/status/a"}).header.Get("Response-Signature"), "by ")
+	return strings.TrimPrefix(s.send(v, siteCall{path: "/status/a"}).header.Get(standin.HeaderReceipt), "by ")
 }
 
 func TestSiteConfigurationIsInForceEverywhere(t *testing.T) {
@@ -39,7 +39,7 @@
 		})
 	}
 	back := func() {
-		s.configure(func(c *configuration) { c.Routes[3]["service"] = deskName })
+		s.configure(func(c *standin.Configuration) { c.Routes[3]["service"] = deskName })
 		time.Sleep(siteBound)
 	}
 	t.Run("on a calm day", func(t *testing.T) {
@@ -65,7 +65,7 @@
 	})
 	t.Run("in quick succession", func(t *testing.T) {
 		for range 20 {
-			s.configure(func(c *configuration) {})
+			s.configure(func(c *standin.Configuration) {})
 			time.Sleep(10 * time.Millisecond)
 		}
 		s.configure(moveStatus)
@@ -73,10 +73,10 @@
 		back()
 	})
 	t.Run("with hundreds of routes more", func(t *testing.T) {
-		s.configure(func(c *configuration) {
+		s.configure(func(c *standin.Configuration) {
 			moveStatus(c)
 			for n := range 500 {
-				c.Routes = append(c.Routes, route(fmt.Sprint("more-", n), fmt.Sprintf("/more/%d/", n), "idempotent", deskName, nil))
+				c.Routes = append(c.Routes, standin.Route(fmt.Sprint("more-", n), host, fmt.Sprintf("/more/%d/", n), "idempotent", deskName, nil))
 			}
 		})
 		inForce(t)
--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -42,7 +42,7 @@
 	address  string
 	replicas map[string]*placed
 	vms      []*storeVM
-	config   configuration
+	config   standin.Configuration
 	attempts atomic.Int64
 }
 
@@ -61,33 +61,15 @@
 	output                            *os.File
 }
 
-// configuration is what the operator writes.
-type configuration struct {
-	Version  int              `json:"version"`
-	Routes   []map[string]any `json:"routes"`
-	Services []map[string]any `json:"services"`
-	Limits   map[string]any   `json:"limits"`
-	Tenants  []map[string]any `json:"tenants"`
-}
-
-func route(name, prefix, kind, service string, more map[string]any) map[string]any {
-	r := map[string]any{"name": name, "host": host, "pathPrefix": prefix, "routeType": kind, "timeoutMs": 4000, "targetLatencyMs": 900,
-		"priority": 1, "service": service, "maxAttempts": 1, "public": false, "targetGapMs": 300}
-	for key, value := range more {
-		r[key] = value
-	}
-	return r
-}
-
-func defaultConfiguration() configuration {
-	return configuration{
+func defaultConfiguration() standin.Configuration {
+	return standin.Configuration{
 		Version: 1,
 		Routes: []map[string]any{
-			route("review", "/review/", "streaming", enginesName, nil),
-			route("check", "/check/", "streaming", enginesName, map[string]any{"resumable": true, "maxAttempts": 2}),
-			route("release", "/release/", "non_idempotent", deskName, map[string]any{"maxAttempts": 2}),
-			route("status", "/status/", "idempotent", deskName, map[string]any{"maxAttempts": 2}),
-			route("open", "/open/", "idempotent", deskName, map[string]any{"public": true}),
+			standin.Route("review", host, "/review/", "streaming", enginesName, nil),
+			standin.Route("check", host, "/check/", "streaming", enginesName, map[string]any{"resumable": true, "maxAttempts": 2}),
+			standin.Route("release", host, "/release/", "non_idempotent", deskName, map[string]any{"maxAttempts": 2}),
+			standin.Route("status", host, "/status/", "idempotent", deskName, map[string]any{"maxAttempts": 2}),
+			standin.Route("open", host, "/open/", "idempotent", deskName, map[string]any{"public": true}),
 		},
 		Services: []map[string]any{
 			{"name": enginesName, "healthPath": "/health", "maxConnections": 300,
@@ -173,7 +155,7 @@
 }
 
 // configure puts a changed configuration in force under the next version.
-func (s *site) configure(change func(c *configuration)) {
+func (s *site) configure(change func(c *standin.Configuration)) {
 	s.config.Version++
 	change(&s.config)
 	s.store.Configure(s.config)
@@ -279,7 +261,7 @@
 
 // stream is a call for a generation.
 func stream(path string) siteCall {
-	return siteCall{method: http.MethodPost, path: path, body: "a prompt", header: map[string]string{"Token-Usage": "5000,3000", "Model": "m", "Prefix-Hash": "ab:5000"}}
+	return siteCall{method: http.MethodPost, path: path, body: "a prompt", header: map[string]string{standin.HeaderTokens: "5000,3000", "Model": "m", "Prefix-Hash": "ab:5000"}}
 }
 
 func (s *site) nextAttempt() string { return fmt.Sprintf("attempt-%d", s.attempts.Add(1)) }
@@ -304,12 +286,12 @@
 	r, err := http.NewRequestWithContext(ctx, c.method, "http://"+v.callers+c.path, strings.NewReader(c.body))
 	require.NoError(s.t, err)
 	r.Host = host
-	r.Header.Set("Attempt-Id", c.attempt)
+	r.Header.Set(standin.HeaderAttempt, c.attempt)
 	if c.key != "none" {
 		r.Header.Set("Authorization", "Bearer "+c.key)
 	}
 	if c.timeout > 0 {
-		r.Header.Set("Deadline-Ms", fmt.Sprint(c.timeout.Milliseconds()))
+		r.Header.Set(standin.HeaderTimeout, fmt.Sprint(c.timeout.Milliseconds()))
 	}
 	for name, value := range c.header {
 		r.Header.Set(name, value)
@@ -353,7 +335,7 @@
 	assert.Equal(t, http.StatusOK, a.status, a.body)
 	assert.True(t, a.whole, a.err)
 	assert.Equal(t, body, a.body)
-	assert.NotEmpty(t, a.header.Get("Response-Signature"), "the answer is an upstream's")
+	assert.NotEmpty(t, a.header.Get(standin.HeaderReceipt), "the answer is an upstream's")
 }
 
 // assertNotRun checks a refusal that promises that the request has not run.
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -120,7 +120,7 @@
 
 func (p *Replica) serve(w http.ResponseWriter, r *http.Request, take func(string) bool) {
 	body, _ := io.ReadAll(r.Body)
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
 	p.mu.Lock()
 	faults := p.faults
 	p.mu.Unlock()
@@ -128,7 +128,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if target := r.Header.Get("Target-Instance"); target != "" && target != p.cfg.ID {
+	if target := r.Header.Get(HeaderReplica); target != "" && target != p.cfg.ID {
 		p.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
@@ -136,7 +136,7 @@
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
-	size := tokensOf(r.Header.Get("Token-Usage"))
+	size := tokensOf(r.Header.Get(HeaderTokens))
 	if p.cfg.Stage == "decode" && !p.reserve(size) {
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
@@ -144,7 +144,7 @@
 	if p.cfg.Stage == "decode" {
 		defer p.reserve(-size)
 	}
-	if source := r.Header.Get("Kv-Source"); source != "" && !take(source) {
+	if source := r.Header.Get(headerSource); source != "" && !take(source) {
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -171,7 +171,7 @@
 	p.refused++
 	p.mu.Unlock()
 	if status != http.StatusMisdirectedRequest {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(headerNotRun, "1")
 	}
 	w.WriteHeader(status)
 }
@@ -189,8 +189,8 @@
 func (p *Replica) begin(r *http.Request, body string) *Run {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	run := &Run{Attempt: r.Header.Get("Attempt-Id"), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: body,
-		Prefill: r.Header.Get("Inference-Stage") == "prefill"}
+	run := &Run{Attempt: r.Header.Get(HeaderAttempt), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: body,
+		Prefill: r.Header.Get(HeaderStage) == "prefill"}
 	p.runs = append(p.runs, run)
 	return run
 }
@@ -209,10 +209,10 @@
 		handle := fmt.Sprintf("%s-%d", p.cfg.ID, p.next)
 		p.handles[handle] = true
 		p.mu.Unlock()
-		writeJSON(w, map[string]any{"kvHandle": handle, "tokens": tokensOf(r.Header.Get("Token-Usage")), "version": 1})
+		writeJSON(w, map[string]any{"kvHandle": handle, "tokens": tokensOf(r.Header.Get(HeaderTokens)), "version": 1})
 		return true
 	}
-	w.Header().Set("Response-Signature", "by "+p.cfg.ID)
+	w.Header().Set(HeaderReceipt, "by "+p.cfg.ID)
 	if faults.Fail {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
@@ -229,7 +229,7 @@
 }
 
 func (p *Replica) stream(w http.ResponseWriter, r *http.Request, faults ReplicaFaults) bool {
-	w.Header().Set("Response-Signature", "by "+p.cfg.ID)
+	w.Header().Set(HeaderReceipt, "by "+p.cfg.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -237,7 +237,7 @@
 		if !wait(r, p.cfg.Work) {
 			return false
 		}
-		event := StreamEvent(r.Header.Get("Attempt-Id"), n)
+		event := StreamEvent(r.Header.Get(HeaderAttempt), n)
 		if faults.CutAfter > 0 && n > faults.CutAfter {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = flusher.Flush()
