Decide what may be done with a request in one state machine

Cause: whether a request may have run was a counter changed in four places of gateway, and each kind of service had its own rules for going on. Reading them side by side showed a fault: where a stream that may be resumed had broken off and the second engine answered 500, the body of that failure was written into the caller's stream, which then looked whole (MIXED, ORDER).

The first failure of an engine was passed on where a second engine could have served.

TestAttemptsAgainstAnOracle plays 5,000 random attempts against an oracle that runs late, loses answers or is frozen.

--- /dev/null
+++ b/attempt/main_test.go
@@ -0,0 +1,9 @@
+package attempt
+
+import (
+	"testing"
+
+	"github.com/cassiabridge/cassiabridge/standin/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m, "5000") }
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/routing"
@@ -33,8 +35,6 @@
 	r      *request
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent string
-	// placements is how often engines were chosen.
-	placements int
 }
 
 // generate serves a request by a prefill and a decode engine.
@@ -46,36 +46,14 @@
 		r.notes = append(r.notes, zap.Duration("FirstEvent", took))
 	}
 	for {
-		g.placements++
-		failed, refusal := g.try(ctx)
-		switch {
-		case refusal != nil:
-			return refusal
-		case failed == nil:
-			return nil
-		case ctx.Err() != nil:
-			return s.ended(ctx, r)
-		}
-		if refusal := g.afterFailure(failed); refusal != nil {
+		r.state = r.state.WithOffer()
+		refusal, step := g.try(ctx)
+		if refusal == nil || !s.goesOn(ctx, r, step) {
 			return refusal
 		}
 	}
 }
 
-// afterFailure returns the refusal with which the request ends after a failed try, or nil if it is to be tried again.
-func (g *generation) afterFailure(failed *attemptFailure) *Error {
-	r := g.r
-	switch {
-	case failed.mayHaveRun && (r.route.Repeat == routing.AtMostOnce || r.attempts >= r.route.MaxAttempts):
-		return &Error{Op: "generate", Kind: ErrUpstream, Err: failed.err}
-	case g.placements < maxTries && !failed.final && (!failed.arrived || g.server.mayRepeat(r)):
-		return nil
-	case failed.mayHaveRun:
-		return &Error{Op: "generate", Kind: ErrUpstream, Err: failed.err}
-	}
-	return (&Error{Op: "generate", Kind: ErrOverload, Err: failed.err}).withRetryAfter(noUpstreamRetry)
-}
-
 // promptTokens is the length of the prompt in tokens, or a guess by its bytes if the caller did not say.
 func (r *request) promptTokens() int {
 	if r.call.PromptTokens > 0 {
@@ -96,8 +74,9 @@
 	return longest
 }
 
-// try takes the request once through the queue, prefill and decode.
-func (g *generation) try(ctx context.Context) (*attemptFailure, *Error) {
+// try takes the request once through the queue, prefill and decode. It returns the error with which the request ends
+// unless the step allows another try.
+func (g *generation) try(ctx context.Context) (*Error, attempt.Step) {
 	s, r := g.server, g.r
 	askedAt := s.control.now()
 	decision, id := s.control.place(ctx, placement.Request{
@@ -108,114 +87,145 @@
 	waited := s.control.now().Sub(askedAt)
 	s.metrics.Waited.Observe(waited.Seconds())
 	if ctx.Err() != nil {
-		return nil, s.ended(ctx, r)
+		return s.ended(ctx, r), attempt.End
 	}
 	s.log.Info("placed", zap.String("Request", r.call.Attempt), zap.Stringer("Decision", decision.Kind), zap.String("Prefill", decision.Prefill.ID),
 		zap.String("Decode", decision.Decode.ID), zap.Int("Prompt", r.promptTokens()), zap.Int("Output", r.expectedOutput()),
 		zap.Int("MaxOutput", r.call.MaxOutputTokens), zap.Int("Free", decision.Free), zap.Int("Waiting", decision.Waiting), zap.Duration("Waited", waited),
 		zap.Duration("Wait", decision.Wait))
-	switch decision.Kind {
-	case placement.RefuseOverload:
-		return nil, refuse("place", ErrOverload, "no engine comes free in time").withRetryAfter(decision.RetryAfter)
-	case placement.RefuseNoEngine:
-		return nil, refuse("place", ErrNoUpstream, "no engine of pool %q is left", r.pool.Name).withRetryAfter(decision.RetryAfter)
-	case placement.RefuseTooLarge:
-		return nil, refuse("place", ErrNoUpstream, "no engine of pool %q holds %d tokens", r.pool.Name, r.promptTokens()).withRetryAfter(decision.RetryAfter)
+	if decision.Kind != placement.Start {
+		return r.notPlaced(decision), attempt.End
 	}
-	handle, failed := g.prefill(ctx, decision.Prefill)
-	s.control.prefilled(id, failed == nil)
-	if failed != nil {
-		return failed, nil
+	handle, x := g.prefill(ctx, decision.Prefill)
+	s.control.prefilled(id, x.err == nil)
+	if x.err != nil {
+		return s.failure(ctx, r, x.err), r.state.NextAfterPrefill(x.outcome)
 	}
 	return g.decode(ctx, id, decision, handle)
 }
 
+// notPlaced says why no engines were chosen for a request.
+func (r *request) notPlaced(decision placement.Decision) *Error {
+	var refusal *Error
+	switch decision.Kind {
+	case placement.RefuseTooLarge:
+		refusal = refuse("place", ErrNoUpstream, "no engine of pool %q holds %d tokens", r.pool.Name, r.promptTokens())
+	case placement.RefuseNoEngine:
+		refusal = refuse("place", ErrNoUpstream, "no engine of pool %q is left", r.pool.Name)
+	default:
+		refusal = refuse("place", ErrOverload, "no engine comes free in time")
+	}
+	return refusal.withRetryAfter(decision.RetryAfter)
+}
+
 // prefill has the prompt read, and returns the handle of the result.
-func (g *generation) prefill(ctx context.Context, at placement.Replica) (string, *attemptFailure) {
+func (g *generation) prefill(ctx context.Context, at placement.Replica) (string, exchanged) {
 	s, r := g.server, g.r
 	prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
-	resp, failed := s.exchange(prefillCtx, r, at, Hop{Replica: at.ID, Account: r.accountName(), Stage: placement.StagePrefill, LastEvent: g.lastEvent})
-	if failed != nil {
+	x := s.exchange(prefillCtx, r, at, Hop{Replica: at.ID, Account: r.accountName(), Stage: placement.StagePrefill, LastEvent: g.lastEvent})
+	if x.resp == nil {
 		if prefillCtx.Err() != nil && ctx.Err() == nil {
 			// An engine that is silent for so long is as good as unreachable.
 			s.control.failed(at, true)
 		}
-		// Reading a prompt is no run.
-		failed.mayHaveRun = false
-		return "", failed
-	}
-	defer resp.Close()
-	body, err := resp.ReadAll(maxPrefillAnswer)
-	if err == nil && resp.Status != http.StatusOK {
-		err = errors.New(http.StatusText(resp.Status))
-	}
-	handle, tokens := "", 0
-	if err == nil {
-		handle, tokens, err = s.protocol.ReadPrefill(body)
+		return "", x
 	}
+	defer x.resp.Close()
+	handle, tokens, err := s.readPrefill(x.resp)
 	if err != nil {
-		s.log.Info("prefill-failed", zap.String("Request", r.call.Attempt), zap.String("Replica", at.ID), zap.Int("Status", resp.Status), zap.Error(err))
+		s.log.Info("prefill-failed", zap.String("Request", r.call.Attempt), zap.String("Replica", at.ID), zap.Int("Status", x.resp.Status), zap.Error(err))
 		s.control.failed(at, false)
 		r.avoid = append(r.avoid, at.ID)
-		return "", &attemptFailure{arrived: true, err: err}
+		return "", exchanged{outcome: attempt.Failed, err: err}
 	}
 	s.metrics.PrefillTokens.Add(float64(tokens))
-	return handle, nil
+	return handle, x
+}
+
+// readPrefill reads the answer of a prefill: the handle of its result, and the tokens that were read.
+func (s *Server) readPrefill(resp *exchange.Response) (handle string, tokens int, err error) {
+	body, err := resp.ReadAll(maxPrefillAnswer)
+	if err != nil {
+		return "", 0, err
+	}
+	if resp.Status != http.StatusOK {
+		return "", 0, errors.New(http.StatusText(resp.Status))
+	}
+	return s.protocol.ReadPrefill(body)
 }
 
-// decode has the answer generated from the result of the prefill, at another engine if the first has no room.
-func (g *generation) decode(ctx context.Context, id uint64, decision placement.Decision, handle string) (*attemptFailure, *Error) {
+// decode has the answer generated from the result of the prefill, at another engine if the first has no room. It
+// returns what try returns.
+func (g *generation) decode(ctx context.Context, id uint64, decision placement.Decision, handle string) (*Error, attempt.Step) {
 	s, r := g.server, g.r
 	source, at := decision.Prefill, decision.Decode
 	fetchBy := s.control.now().Add(r.pool.Engine.Retain - fetchMargin)
 	for {
-		resp, failed := s.exchange(ctx, r, at, Hop{Replica: at.ID, Account: r.accountName(), Source: source.Address + "/" + handle, LastEvent: g.lastEvent})
-		if failed == nil {
-			return g.passOn(r, at, resp)
+		x := s.exchange(ctx, r, at, Hop{Replica: at.ID, Account: r.accountName(), Source: source.Address + "/" + handle, LastEvent: g.lastEvent})
+		if x.resp != nil {
+			return g.passOn(ctx, at, x)
 		}
+		step := r.state.Next(x.outcome)
 		next, found := placement.Replica{}, false
-		if !failed.mayHaveRun && ctx.Err() == nil && s.control.now().Before(fetchBy) {
-			failed.final = failed.arrived && !s.mayRepeat(r)
-			if !failed.final {
-				next, found = s.control.replaceDecode(id)
-			}
+		if r.state.MayRun() && x.outcome != attempt.InDoubt && ctx.Err() == nil && s.control.now().Before(fetchBy) {
+			next, found = s.control.replaceDecode(id)
+		}
+		if found && x.outcome == attempt.Refused && !s.mayRepeat(r) {
+			found, step = false, attempt.End
 		}
 		if !found {
 			s.metrics.WastedPrefillTokens.Add(float64(r.promptTokens()))
 			go s.freeResult(source.Address, handle, r)
-			return failed, nil
+			return s.failure(ctx, r, x.err), step
 		}
 		s.log.Info("decode-replaced", zap.String("Request", r.call.Attempt), zap.String("From", at.ID), zap.String("To", next.ID))
 		at = next
 	}
 }
 
-// passOn passes a stream on to the caller, by whole events if it may be resumed.
-func (g *generation) passOn(r *request, from placement.Replica, resp *exchange.Response) (*attemptFailure, *Error) {
-	s := g.server
-	resumable := r.route.Repeat == routing.Resumable && resp.Status == http.StatusOK
-	if !resumable {
-		return nil, s.passOn(r, from, resp)
+// passOn passes the answer of a decode engine on to the caller, a stream that may be resumed by whole events.
+func (g *generation) passOn(ctx context.Context, from placement.Replica, x exchanged) (*Error, attempt.Step) {
+	s, r := g.server, g.r
+	failed := x.resp.Status != http.StatusOK
+	again := r.state.Next(x.outcome) == attempt.AgainWithinBudget && s.mayRepeat(r)
+	if again || failed && r.w.started {
+		return g.passOver(ctx, from, x.resp, again)
+	}
+	if r.route.Repeat != routing.Resumable || failed {
+		return s.passOn(r, from, x.resp), attempt.End
 	}
-	defer resp.Close()
+	defer x.resp.Close()
 	r.notes = append(r.notes, zap.String("Replica", from.ID))
 	if !r.w.started {
-		r.w.start(resp.Status, s.protocol.AnswerHeaders(resp.Header), -1)
+		r.w.start(x.resp.Status, s.protocol.AnswerHeaders(x.resp.Header), -1)
 	}
-	last, err := r.w.copyEvents(resp, g.lastEvent)
+	last, err := r.w.copyEvents(x.resp, g.lastEvent)
 	g.lastEvent = last
 	var own *Error
 	switch {
 	case err == nil:
-		return nil, nil
+		return nil, attempt.PassOn
 	case errors.As(err, &own):
-		return nil, own
+		return own, attempt.End
 	}
 	s.log.Info("stream-broken", zap.String("Request", r.call.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", last), zap.Error(err))
 	s.control.failed(from, false)
 	r.avoid = append(r.avoid, from.ID)
-	return &attemptFailure{arrived: true, mayHaveRun: true, err: err}, nil
+	return s.failure(ctx, r, err), r.state.Next(attempt.Broken)
+}
+
+// passOver drops an upstream's failure, which must not end up in a stream that has begun.
+func (g *generation) passOver(ctx context.Context, from placement.Replica, resp *exchange.Response, again bool) (*Error, attempt.Step) {
+	s, r := g.server, g.r
+	resp.Close()
+	r.avoid = append(r.avoid, from.ID)
+	s.log.Info("answer-passed-over", zap.String("Request", r.call.Attempt), zap.String("Replica", from.ID), zap.Int("Status", resp.Status))
+	refusal := s.failure(ctx, r, fmt.Errorf("the upstream answered %d", resp.Status))
+	if again {
+		return refusal, attempt.Again
+	}
+	return refusal, attempt.End
 }
 
 // freeResult frees the memory of a result that nobody will fetch.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/routing"
@@ -61,10 +62,11 @@
 	// until is when the caller stops waiting, or the route's time is over.
 	until time.Time
 	w     *answerWriter
-	// attempts is how many upstreams may have run the request.
-	attempts int
-	avoid    []string
-	notes    []zap.Field
+	// state says whether an upstream may have run the request.
+	state attempt.State
+	// avoid lists the upstreams that have failed the request.
+	avoid []string
+	notes []zap.Field
 	// releaseBody gives back the memory that the body takes.
 	releaseBody func()
 }
@@ -128,7 +130,7 @@
 		return refuse("admit", ErrOverRate, "the account has used up its rate").withRetryAfter(admitted.wait)
 	}
 	refusal := s.forward(ctx, r)
-	if refusal != nil && r.attempts == 0 {
+	if refusal != nil && r.state.NotRun() {
 		s.control.giveBack(r.accountName(), cost)
 	}
 	return refusal
@@ -145,7 +147,7 @@
 		return nil
 	case refusal.Kind == ErrUpstream && ctx.Err() != nil:
 		return s.ended(ctx, r)
-	case refusal.promisesNotRun() && r.attempts > 0:
+	case refusal.promisesNotRun() && !r.state.NotRun():
 		return &Error{Op: refusal.Op, Kind: ErrUpstream, Err: refusal.Err}
 	}
 	return refusal
@@ -164,6 +166,7 @@
 		return refuse("route", ErrNoRoute, "no route for host %q and path %q", r.http.Host, path)
 	}
 	r.route = route
+	r.state = attempt.New(attempt.Terms{Repeat: route.Repeat, MaxRuns: route.MaxAttempts, MaxOffers: maxOffers})
 	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/integration/site_calls_test.go
+++ b/integration/site_calls_test.go
@@ -94,6 +94,38 @@
 	assert.NotEmpty(t, s.replicas["d-0"].Runs(), "the cut engine was used")
 }
 
+func TestSiteFailuresOfEngines(t *testing.T) {
+	s := newSite(t, 1)
+	v := s.vms[0]
+	t.Run("before the first event", func(t *testing.T) {
+		s.replicas["d-0"].SetFaults(standin.ReplicaFaults{Fail: true})
+		for range 6 {
+			a := s.send(v, stream("/check/a"))
+			assertAnswered(t, a, wholeStream(a.attempt, 20))
+		}
+		assert.NotEmpty(t, s.replicas["d-0"].Runs())
+	})
+	t.Run("in a stream that had begun elsewhere", func(t *testing.T) {
+		s.replicas["d-0"].SetFaults(standin.ReplicaFaults{Fail: true})
+		s.replicas["d-1"].SetFaults(standin.ReplicaFaults{CutAfter: 5})
+		for range 6 {
+			a := s.send(v, stream("/check/a"))
+			assert.False(t, a.whole && a.status == http.StatusOK, "a cut stream must not look whole")
+			if a.status == http.StatusOK {
+				assert.Equal(t, wholeStream(a.attempt, 5), a.body, "a failure is no part of a stream")
+			}
+		}
+	})
+	t.Run("where it may not run again", func(t *testing.T) {
+		s.replicas["d-0"].SetFaults(standin.ReplicaFaults{Fail: true})
+		s.replicas["d-1"].SetFaults(standin.ReplicaFaults{Fail: true})
+		a := s.send(v, stream("/review/a"))
+		assert.Equal(t, http.StatusInternalServerError, a.status)
+		assert.Equal(t, standin.StreamFailure, a.body)
+		assert.Len(t, s.runsOf(a.attempt), 1)
+	})
+}
+
 func TestSiteRefusalsAreTrue(t *testing.T) {
 	s := newSite(t, 1)
 	v := s.vms[0]
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -223,6 +223,9 @@
 // ServiceAnswer is the body of a plain service's answer to an attempt.
 func ServiceAnswer(attempt string) string { return "answer to " + attempt }
 
+// StreamFailure is the body of an engine's own failure.
+const StreamFailure = "the engine failed"
+
 // StreamEvent is one event of the stream for an attempt.
 func StreamEvent(attempt string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, attempt, n)
@@ -230,6 +233,11 @@
 
 func (p *Replica) stream(w http.ResponseWriter, r *http.Request, faults ReplicaFaults) bool {
 	w.Header().Set(HeaderReceipt, "by "+p.cfg.ID)
+	if faults.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, StreamFailure)
+		return true
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
