Say in the log on how many upstreams a request ran; a try at waiting for rates, reverted

Change: request-ended names Runs and MaxRuns. A replay shows the lost lookups with one try all on a route of one run (Runs=1 MaxRuns=1); before, the finding stood open. Ruled out by the same replay: the retry budget (no repeat-refused line) and a fault in the choice of a second upstream.

Failed try: let a request wait up to half of its latency target for the rate of its account, taken from the bucket at once, in the order of arrival.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -227,7 +227,8 @@
 	fields := []zap.Field{zap.String("Request", r.call.Attempt)}
 	if r.route != nil {
 		route = r.route.Name
-		fields = append(fields, zap.String("Route", route), zap.Uint64("Version", r.table.Version))
+		fields = append(fields, zap.String("Route", route), zap.Uint64("Version", r.table.Version), zap.Int("Runs", r.state.Runs()),
+			zap.Int("MaxRuns", r.route.MaxAttempts))
 	}
 	if r.account != nil {
 		fields = append(fields, zap.String("Account", r.account.Name))
