Let one VM read the list of replicas for all

Ruled out: waiting reads (entries are written all the time, 15 answers a second a VM); a longer pace for all (a leaving replica must be out of use within 2 s).

Change: listReads, without I/O. The VM that ranks first reads each 0.6 s. Beacons say when the list was read last and after which offset it has changed; a VM that is behind reads at once, and others take over by rank when the newest reading known gets old.

--- a/app/serve_store.go
+++ b/app/serve_store.go
@@ -59,7 +59,7 @@
 	var beacons *peer.Beacons
 	control := gateway.NewController(self, cfg.AvailabilityZone, gateway.WithLogger(log), gateway.WithMetrics(measures),
 		gateway.WithRetryBudget(cfg.Store.RetryRatio, cfg.Store.RetrySlack, time.Duration(cfg.Store.RetryWindow)*time.Millisecond),
-		gateway.WithNudge(link.readDeclarations),
+		gateway.WithNudge(link.readDeclarations), gateway.WithListReader(link.readReplicas),
 		gateway.WithBeacons(func(b peer.Beacon, to []*net.UDPAddr) error { return beacons.Send(b, to) }))
 	beacons, closeBeacons, err := peer.ListenBeacons(cfg.Listen.Peers, control.HearBeacon, func(err error) { log.Warn("beacon-rejected", zap.Error(err)) })
 	if err != nil {
--- a/app/store_link.go
+++ b/app/store_link.go
@@ -19,9 +19,6 @@
 	declarationsWait = 10 * time.Second
 	// vmsWait is how long a read of the list of VMs waits for a new one.
 	vmsWait = 20 * time.Second
-	// replicasPace is the pause between two reads of the list of replicas, whose entries are written all the time. A
-	// leaving replica must get no more requests 2 s after it said so.
-	replicasPace = 800 * time.Millisecond
 	// announceRetry is the pause before a VM writes its own record again after a failure.
 	announceRetry = 500 * time.Millisecond
 	// announceTimeout bounds the writing of a VM's own record.
@@ -36,18 +33,22 @@
 	// record says where this VM is reached, and unlisted is signaled when the store does not say so.
 	record   gateway.VMRecord
 	unlisted chan struct{}
-	// nudges ask for the declarations to be read again.
-	nudges chan struct{}
+	// nudges ask for the declarations to be read again, and listReads for the list of replicas.
+	nudges    chan struct{}
+	listReads chan struct{}
 }
 
 func newStoreLink(cfg settings.Settings, store *platform.Store, log *zap.Logger) *storeLink {
 	return &storeLink{store: store, log: log, vm: cfg.VM, record: gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone},
-		unlisted: make(chan struct{}, 1), nudges: make(chan struct{}, 1)}
+		unlisted: make(chan struct{}, 1), nudges: make(chan struct{}, 1), listReads: make(chan struct{}, 1)}
 }
 
 // readDeclarations has the declarations read again at once.
 func (l *storeLink) readDeclarations() { signalOnce(l.nudges) }
 
+// readReplicas has the list of replicas read at once.
+func (l *storeLink) readReplicas() { signalOnce(l.listReads) }
+
 // follow returns the function that keeps a controller up to date until its context is done.
 func (l *storeLink) follow(control *gateway.Controller) func(context.Context) {
 	common := []follow.Option{follow.WithExpired(platform.Expired), follow.WithLogger(l.log)}
@@ -57,7 +58,7 @@
 	declarations := follower(platform.TopicConfiguration, func(b follow.Batch) { applyDeclarations(control, l.log, b) }, follow.WithWait(declarationsWait), follow.WithNudges(l.nudges))
 	replicas := follower(platform.TopicReplicas, func(b follow.Batch) {
 		control.ApplyReplicas(gateway.NewReplicaUpdate(b, platform.DecodeReplica))
-	}, follow.WithPace(replicasPace))
+	}, follow.WithPace(gateway.ListOwnPace), follow.WithNudges(l.listReads))
 	vms := follower(platform.TopicVMs, func(b follow.Batch) {
 		control.ApplyVMs(b)
 		if b.Whole && !l.lists(b) {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -47,6 +47,8 @@
 	Records []Record
 	// Whole says that Records are all keys that there are.
 	Whole bool
+	// Next is the offset after the last record that was read.
+	Next uint64
 	// Outage is how long the store had not answered before.
 	Outage time.Duration
 }
@@ -80,7 +82,8 @@
 // WithExpired sets how an error is told that says that old records are no longer kept.
 func WithExpired(expired func(error) bool) Option { return func(f *Follower) { f.expired = expired } }
 
-// WithNudges sets a channel whose signals make the follower read at once, because there seems to be something newer.
+// WithNudges sets a channel whose signals make the follower read at once, because there seems to be something newer. A
+// read that waits is ended for it.
 func WithNudges(nudges <-chan struct{}) Option { return func(f *Follower) { f.nudges = nudges } }
 
 // WithLogger sets where the loss and the return of the store are logged.
@@ -132,7 +135,12 @@
 			return Batch{}, err
 		}
 		f.whole, f.next = true, next
-		return Batch{Records: records, Whole: true}, nil
+		return Batch{Records: records, Whole: true, Next: next}, nil
+	}
+	if f.wait == 0 {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return f.read(callCtx)
 	}
 	nudgeCtx, cancelNudge := context.WithCancelCause(ctx)
 	defer cancelNudge(nil)
@@ -145,14 +153,20 @@
 		case <-callCtx.Done():
 		}
 	}()
-	records, err := f.topic.Read(callCtx, f.next, f.wait)
+	batch, err := f.read(callCtx)
 	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
 		// The connection may have gone silent, or there is news elsewhere: the newest records tell.
 		f.whole = false
 		err = context.Cause(callCtx)
 	}
+	return batch, err
+}
+
+// read reads on from the last record.
+func (f *Follower) read(ctx context.Context) (Batch, error) {
+	records, err := f.topic.Read(ctx, f.next, f.wait)
 	f.next += uint64(len(records))
-	return Batch{Records: records}, err
+	return Batch{Records: records, Next: f.next}, err
 }
 
 func (f *Follower) take(batch Batch) {
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -37,9 +37,10 @@
 	events  chan func()
 	table   atomic.Pointer[routing.Table]
 	leaving atomic.Bool
-	// sendBeacon sends to peers, and nudge makes the declarations be read again.
+	// sendBeacon sends to peers, nudge makes the declarations be read again, and readList the list of replicas.
 	sendBeacon func(peer.Beacon, []peerAddress) error
 	nudge      func()
+	readList   func()
 
 	// The fields below belong to the control goroutine.
 	// observers are called when new declarations are in force.
@@ -49,6 +50,7 @@
 	budget    *retryBudget
 	peers     map[string]*peerState
 	replicas  replicaList
+	reads     listReads
 	placing   map[uint64]chan placement.Decision
 	lastID    uint64
 	startedAt time.Time
@@ -78,7 +80,7 @@
 func NewController(self peer.Identity, zone string, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueue),
-		nudge: func() {}, board: placement.NewBoard(zone, rand.Float64), keeper: quota.NewKeeper(),
+		nudge: func() {}, readList: func() {}, board: placement.NewBoard(zone, rand.Float64), keeper: quota.NewKeeper(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(),
 		placing: map[uint64]chan placement.Decision{}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
@@ -105,6 +107,7 @@
 		c.decide(now)
 		c.tickReplicas(now)
 		c.tickPeers(now)
+		c.readListIfDue(now)
 		c.sendBeaconIfDue(now)
 		timer.Reset(c.nextWake(now))
 	}
@@ -112,7 +115,7 @@
 
 // nextWake returns when something is due without any event.
 func (c *Controller) nextWake(now time.Time) time.Duration {
-	wake := c.beacon.dueIn(now)
+	wake := min(c.beacon.dueIn(now), c.listDueIn(now))
 	if c.board.Waiting() > 0 {
 		wake = min(wake, waitingTick)
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -45,6 +45,8 @@
 	version     uint64
 	leaving     bool
 	silent      bool
+	// listReadAt is when the VM read the list of replicas last.
+	listReadAt time.Time
 }
 
 // beaconState says when the next beacon is due.
@@ -136,6 +138,10 @@
 	for _, id := range b.Replaced {
 		c.board.Replaced(id)
 	}
+	if b.ListRead >= 0 {
+		p.listReadAt = now.Add(-b.ListRead)
+	}
+	c.reads.heard(b.ListChanged)
 	c.followNewer(now, b.Version)
 }
 
@@ -196,7 +202,11 @@
 		version = table.Version
 	}
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
-		Leaving: c.leaving.Load(), Loads: c.board.OwnLoads(), Waiting: c.board.WaitingMemory(), Spent: c.keeper.Spent(), Replaced: c.board.ReplacedIDs()}
+		Leaving: c.leaving.Load(), Loads: c.board.OwnLoads(), Waiting: c.board.WaitingMemory(), Spent: c.keeper.Spent(), Replaced: c.board.ReplacedIDs(),
+		ListRead: -time.Millisecond, ListChanged: c.reads.changed}
+	if !c.reads.readAt.IsZero() {
+		b.ListRead = now.Sub(c.reads.readAt)
+	}
 	if err := c.sendBeacon(b, to); err != nil {
 		c.log.Debug("beacon-not-sent", zap.Error(err))
 	}
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -42,11 +42,15 @@
 	Whole bool
 	// Outage is how long the list could not be read before.
 	Outage time.Duration
+	// Next is the offset after the last record that was read.
+	Next uint64
+	// offsets are those of the entries, by replica.
+	offsets map[string]uint64
 }
 
 // NewReplicaUpdate decodes a batch of the list.
 func NewReplicaUpdate(batch follow.Batch, decode func(id string, data []byte) (placement.Replica, error)) ReplicaUpdate {
-	update := ReplicaUpdate{Whole: batch.Whole, Outage: batch.Outage}
+	update := ReplicaUpdate{Whole: batch.Whole, Outage: batch.Outage, Next: batch.Next, offsets: map[string]uint64{}}
 	newest := map[string]follow.Record{}
 	for _, record := range batch.Records {
 		newest[record.Key] = record
@@ -55,6 +59,7 @@
 	byOffset := func(x, y follow.Record) int { return cmp.Compare(x.Offset, y.Offset) }
 	for _, record := range slices.SortedFunc(maps.Values(newest), byOffset) {
 		id := record.Key
+		update.offsets[id] = record.Offset
 		if len(record.Value) == 0 {
 			update.Removed = append(update.Removed, id)
 			continue
@@ -77,6 +82,7 @@
 
 func (c *Controller) applyReplicas(now time.Time, update ReplicaUpdate) {
 	c.replicas.listed = true
+	c.reads.answered(now, update.Next)
 	if update.Outage > 0 {
 		c.replicas.trustFrom = now.Add(returnGrace)
 	}
@@ -95,12 +101,14 @@
 			continue
 		}
 		c.board.SetReplica(replica)
+		c.noteListChange(update.offsets[replica.ID])
 		c.log.Info("replica-listed", zap.String("Replica", replica.ID), zap.String("Pool", replica.Pool), zap.String("Address", replica.Address),
 			zap.String("Zone", replica.Zone), zap.Stringer("Stage", replica.Stage), zap.Bool("Leaving", replica.Leaving))
 	}
 	for _, id := range update.Removed {
 		if replica, exists := known[id]; exists {
 			c.removeReplica(now, replica)
+			c.noteListChange(update.offsets[id])
 			delete(known, id)
 		}
 	}
