--- a/app/serve_store.go
+++ b/app/serve_store.go
@@ -70,7 +70,7 @@
 	defer stopWork()
 
 	failed := make(chan error, 3)
-	closeSide, err := serveSide(cfg, control, measures, failed)
+	closeSide, err := serveSide(cfg, control, measures, log, failed)
 	if err != nil {
 		return err
 	}
@@ -104,15 +104,16 @@
 }
 
 // serveSide serves readiness and metrics until the returned function is called.
-func serveSide(cfg settings.Settings, control *gateway.Controller, measures *metrics.Gateway, failed chan<- error) (func(), error) {
+func serveSide(cfg settings.Settings, control *gateway.Controller, measures *metrics.Gateway, log *zap.Logger, failed chan<- error) (func(), error) {
 	closeReadiness, err := serveHTTP(cfg.Listen.Readiness, platform.ReadinessPath, control.ReadinessHandler(), failed)
 	if err != nil {
 		return nil, err
 	}
 	closeMetrics, err := serveHTTP(cfg.Listen.Metrics, "/metrics", promhttp.HandlerFor(measures.Registry, promhttp.HandlerOpts{}), failed)
 	if err != nil {
-		closeReadiness()
-		return nil, err
+		// The port is the same on all installations and may be taken. Callers are served without metrics too.
+		log.Error("metrics-not-served", zap.String("Address", cfg.Listen.Metrics), zap.Error(err))
+		closeMetrics = func() {}
 	}
 	return func() {
 		closeMetrics()
--- a/integration/site_life_test.go
+++ b/integration/site_life_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"regexp"
 	"strings"
@@ -117,6 +118,17 @@
 	}
 }
 
+func TestSiteServesWithoutMetrics(t *testing.T) {
+	s := newSite(t, 0)
+	v := s.newVM("vm-0")
+	taken, err := net.Listen("tcp", v.metrics)
+	require.NoError(t, err)
+	defer taken.Close()
+	s.start(v)
+	s.awaitServing(v)
+	s.eventually(time.Second, "the log says so", func() bool { return len(s.lines(v, "metrics-not-served", v.metrics)) == 1 })
+}
+
 // load sends calls until the returned function is called, which returns how many failed.
 func (s *site) load(c siteCall, callers int) func() int {
 	stop := make(chan struct{})
