Serve routes by host and path from a file, without any platform

Routes by host, weighted splits, kinds, rates and engines could only be declared through a platform's store, and the headers were the platform's alone.

Ruled out: new kinds in the own resource API. Its accounts, pools and upstreams belong to the dispatcher with its slots and loans; two owners of one account's rate would have to be joined first.

Change: package declaration reads and checks a file in JSON with comments; Gateway.File names it, SIGHUP reads it again. The headers of a protocol are data (gateway.Headers): the platform's names and our own are two values of one type, so platform/protocol.go holds names only. The settings section Store is now Gateway, with Store or File. The stand-in of replicas speaks both formats.

Figures: TestGatewayWithoutAPlatform runs the program (two VMs, each kind of route, a leaving upstream, a broken file, the rate on both); declaration has 12 subtests and a fuzz target.

Conclusion: the gateway is a product of its own; the adapter shrank.

--- a/app/serve.go
+++ b/app/serve.go
@@ -49,13 +49,13 @@
 				}
 				ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 				defer stop()
-				if cfg.Store.Address == "" {
+				if !cfg.Gateway.Enabled() {
 					return Serve(ctx, cfg, newLogger(common.Stderr, cfg))
 				}
 				measures := metrics.NewGateway()
 				log, level, closeLog := newTrafficLogger(common.Stdout, cfg, func(lines int64) { measures.LogLinesDropped.Add(float64(lines)) })
 				defer closeLog()
-				return ServeStore(ctx, cfg, log, measures, func() (settings.Settings, error) {
+				return ServeGateway(ctx, cfg, log, measures, func() (settings.Settings, error) {
 					reloaded, err := settings.Load(path)
 					if err == nil {
 						setLevel(level, reloaded)
--- a/app/serve_store.go
+++ b/app/serve_gateway.go
@@ -21,7 +21,6 @@
 	"github.com/cassiabridge/cassiabridge/gateway"
 	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/peer"
-	"github.com/cassiabridge/cassiabridge/platform"
 	"github.com/cassiabridge/cassiabridge/settings"
 )
 
@@ -37,54 +36,82 @@
 	bodyShare = 0.2
 	// unknownMemory is assumed if no memory limit is known, in megabytes.
 	unknownMemory = 1024
-	// storeDialTimeout bounds the opening of a connection to the store.
-	storeDialTimeout = 700 * time.Millisecond
 )
 
-// ServeStore runs the router on a platform with a metadata store until ctx is done, and then shuts down without
-// cutting a request. reload is called at each SIGHUP and returns the settings read again.
-func ServeStore(ctx context.Context, cfg settings.Settings, log *zap.Logger, measures *metrics.Gateway, reload func() (settings.Settings, error)) error {
+// source is where a gateway learns its declarations, its upstreams and the other VMs.
+type source struct {
+	protocol gateway.Protocol
+	// readinessPath is where balancers ask whether the VM takes connections.
+	readinessPath string
+	options       []gateway.Option
+	// run keeps a controller up to date until its context is done.
+	run func(context.Context, *gateway.Controller)
+	// reload takes what has changed beside the settings.
+	reload func(*gateway.Controller) error
+}
+
+// newSource returns the source that the settings name, and a function that closes it.
+func newSource(cfg settings.Settings, log *zap.Logger) (source, func(), error) {
+	if cfg.Gateway.Store != "" {
+		s, closeStore := newStoreSource(cfg, log)
+		return s, closeStore, nil
+	}
+	s, err := newFileSource(cfg, log)
+	return s, func() {}, err
+}
+
+// ServeGateway serves routes by host and path until ctx is done, and then shuts down without cutting a request. reload is
+// called at each SIGHUP and returns the settings read again.
+func ServeGateway(ctx context.Context, cfg settings.Settings, log *zap.Logger, measures *metrics.Gateway, reload func() (settings.Settings, error)) error {
 	// A hang-up ends a process that does not listen for it, also while it starts.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	if cfg.Store.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Store.Memory) * (1 << 20)))
+	if cfg.Gateway.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Gateway.Memory) * (1 << 20)))
 	}
 	self := peer.Identity{VM: cfg.VM, Incarnation: uuid.NewString()[:8]}
-	storeClient, closeStore := exchange.NewClient(exchange.WithDialTimeout(storeDialTimeout))
-	defer closeStore()
-	link := newStoreLink(cfg, platform.NewStore(storeClient, cfg.Store.Address), log)
+	from, closeSource, err := newSource(cfg, log)
+	if err != nil {
+		return err
+	}
+	defer closeSource()
 
 	var beacons *peer.Beacons
-	control := gateway.NewController(self, cfg.AvailabilityZone, gateway.WithLogger(log), gateway.WithMetrics(measures),
-		gateway.WithRetryBudget(cfg.Store.RetryRatio, cfg.Store.RetrySlack, time.Duration(cfg.Store.RetryWindow)*time.Millisecond),
-		gateway.WithNudge(link.readDeclarations), gateway.WithListReader(link.readReplicas),
+	options := append(from.options, gateway.WithLogger(log), gateway.WithMetrics(measures),
+		gateway.WithRetryBudget(cfg.Gateway.RetryRatio, cfg.Gateway.RetrySlack, time.Duration(cfg.Gateway.RetryWindow)*time.Millisecond),
 		gateway.WithBeacons(func(b peer.Beacon, to []*net.UDPAddr) error { return beacons.Send(b, to) }))
+	control := gateway.NewController(self, cfg.AvailabilityZone, options...)
 	beacons, closeBeacons, err := peer.ListenBeacons(cfg.Listen.Peers, control.HearBeacon, func(err error) { log.Warn("beacon-rejected", zap.Error(err)) })
 	if err != nil {
 		return err
 	}
 	defer closeBeacons()
-	stopWork := startWork(control.Run, link.follow(control))
+	stopWork := startWork(control.Run, func(ctx context.Context) { from.run(ctx, control) })
 	defer stopWork()
 
 	failed := make(chan error, 3)
-	closeSide, err := serveSide(cfg, control, measures, log, failed)
+	closeSide, err := serveSide(cfg, control, from.readinessPath, measures, log, failed)
 	if err != nil {
 		return err
 	}
 	defer closeSide()
 	upstreams, closeUpstreams := exchange.NewClient(exchange.WithDialObserver(func(string) { measures.Connections.Inc() }))
 	defer closeUpstreams()
-	server := gateway.NewServer(control, platform.Protocol(), upstreams, rand.Float64, maxBodyMemory(cfg))
+	server := gateway.NewServer(control, from.protocol, upstreams, rand.Float64, maxBodyMemory(cfg))
 	stopCallers, err := server.ListenCallers(cfg.Listen.Callers, failed)
 	if err != nil {
 		return err
 	}
 	log.Info("started", zap.String("Incarnation", self.Incarnation), zap.String("Version", Version), zap.String("Callers", cfg.Listen.Callers),
-		zap.String("Store", cfg.Store.Address), zap.String("Zone", cfg.AvailabilityZone))
-	if err := waitForStop(ctx, log, hangups, reload, failed); err != nil {
+		zap.String("Store", cfg.Gateway.Store), zap.String("File", cfg.Gateway.File), zap.String("Zone", cfg.AvailabilityZone))
+	if err := waitForStop(ctx, log, hangups, func() (settings.Settings, error) {
+		cfg, err := reload()
+		if err != nil {
+			return cfg, err
+		}
+		return cfg, from.reload(control)
+	}, failed); err != nil {
 		return err
 	}
 	return leave(cfg, control, stopCallers, log)
@@ -104,8 +131,8 @@
 }
 
 // serveSide serves readiness and metrics until the returned function is called.
-func serveSide(cfg settings.Settings, control *gateway.Controller, measures *metrics.Gateway, log *zap.Logger, failed chan<- error) (func(), error) {
-	closeReadiness, err := serveHTTP(cfg.Listen.Readiness, platform.ReadinessPath, control.ReadinessHandler(), failed)
+func serveSide(cfg settings.Settings, control *gateway.Controller, readinessPath string, measures *metrics.Gateway, log *zap.Logger, failed chan<- error) (func(), error) {
+	closeReadiness, err := serveHTTP(cfg.Listen.Readiness, readinessPath, control.ReadinessHandler(), failed)
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +150,7 @@
 
 // maxBodyMemory returns how much the bodies of requests under way may take, in bytes.
 func maxBodyMemory(cfg settings.Settings) int64 {
-	megabytes := cfg.Store.Memory
+	megabytes := cfg.Gateway.Memory
 	if megabytes == 0 {
 		megabytes = unknownMemory
 	}
@@ -152,7 +179,7 @@
 // leave tells the balancer and the peers that this VM leaves, and waits for the requests under way.
 func leave(cfg settings.Settings, control *gateway.Controller, stopCallers func(context.Context) error, log *zap.Logger) error {
 	log.Info("draining")
-	grace := time.Duration(cfg.Store.Grace) * time.Millisecond
+	grace := time.Duration(cfg.Gateway.Grace) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), grace-killMargin)
 	defer cancel()
 	control.Leave()
--- a/app/store_link.go
+++ b/app/store_source.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/follow"
 	"github.com/cassiabridge/cassiabridge/gateway"
 	"github.com/cassiabridge/cassiabridge/platform"
@@ -23,8 +24,21 @@
 	announceRetry = 500 * time.Millisecond
 	// announceTimeout bounds the writing of a VM's own record.
 	announceTimeout = 2 * time.Second
+	// storeDialTimeout bounds the opening of a connection to the store.
+	storeDialTimeout = 700 * time.Millisecond
 )
 
+// newStoreSource returns a source that follows a platform's metadata store, and a function that closes it.
+func newStoreSource(cfg settings.Settings, log *zap.Logger) (source, func()) {
+	client, closeClient := exchange.NewClient(exchange.WithDialTimeout(storeDialTimeout))
+	link := newStoreLink(cfg, platform.NewStore(client, cfg.Gateway.Store), log)
+	return source{
+		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: link.follow,
+		options: []gateway.Option{gateway.WithNudge(link.readDeclarations), gateway.WithListReader(link.readReplicas)},
+		reload:  func(*gateway.Controller) error { return nil },
+	}, closeClient
+}
+
 // storeLink is what one VM reads from the metadata store and writes there.
 type storeLink struct {
 	store *platform.Store
@@ -49,8 +63,8 @@
 // readReplicas has the list of replicas read at once.
 func (l *storeLink) readReplicas() { signalOnce(l.listReads) }
 
-// follow returns the function that keeps a controller up to date until its context is done.
-func (l *storeLink) follow(control *gateway.Controller) func(context.Context) {
+// follow keeps a controller up to date until its context is done.
+func (l *storeLink) follow(ctx context.Context, control *gateway.Controller) {
 	common := []follow.Option{follow.WithExpired(platform.Expired), follow.WithLogger(l.log)}
 	follower := func(topic string, apply func(follow.Batch), opts ...follow.Option) *follow.Follower {
 		return follow.New(l.store.Topic(topic), apply, append(opts, common...)...)
@@ -66,12 +80,10 @@
 		}
 	}, follow.WithWait(vmsWait))
 	copies := copiesIn(l.store)
-	return func(ctx context.Context) {
-		stop := startWork(declarations.Run, replicas.Run, vms.Run, l.announce,
-			func(ctx context.Context) { control.ReadCopy(ctx, copies) }, func(ctx context.Context) { control.KeepCopy(ctx, copies) })
-		<-ctx.Done()
-		stop()
-	}
+	stop := startWork(declarations.Run, replicas.Run, vms.Run, l.announce,
+		func(ctx context.Context) { control.ReadCopy(ctx, copies) }, func(ctx context.Context) { control.KeepCopy(ctx, copies) })
+	<-ctx.Done()
+	stop()
 }
 
 // applyDeclarations puts the newest declarations of a batch in force.
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -80,7 +80,7 @@
 func NewController(self peer.Identity, zone string, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueue),
-		nudge: func() {}, readList: func() {}, board: placement.NewBoard(zone, rand.Float64), keeper: quota.NewKeeper(),
+		nudge: func() {}, board: placement.NewBoard(zone, rand.Float64), keeper: quota.NewKeeper(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(),
 		placing: map[uint64]chan placement.Decision{}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -65,7 +65,7 @@
 	return b
 }
 
-// WithListReader sets what reads the list of replicas.
+// WithListReader sets what reads the list of replicas. Without it the list is read by others, such as at a reload.
 func WithListReader(read func()) Option { return func(c *Controller) { c.readList = read } }
 
 // noteListChange notes the offset of an entry that changed what is known of replicas, and has the peers told.
@@ -76,6 +76,9 @@
 
 // listDueIn returns when this VM reads the list of replicas.
 func (c *Controller) listDueIn(now time.Time) time.Duration {
+	if c.readList == nil {
+		return ListOwnPace
+	}
 	rank := 0
 	var peersRead time.Time
 	for name, p := range c.peers {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -79,19 +79,29 @@
 }
 
 func (c *Controller) applyVM(record follow.Record) {
-	if record.Key == c.self.VM {
+	var vm VMRecord
+	if err := json.Unmarshal(record.Value, &vm); err != nil {
+		c.log.Warn("vm-passed-over", zap.String("Peer", record.Key), zap.Uint64("Offset", record.Offset), zap.Error(err))
 		return
 	}
-	var vm VMRecord
-	err := json.Unmarshal(record.Value, &vm)
-	if err == nil && len(record.Value) > 0 {
-		var addr *net.UDPAddr
-		if addr, err = net.ResolveUDPAddr("udp4", vm.Address); err == nil {
-			c.listPeer(record.Key, addr)
-			return
-		}
+	c.listVM(record.Key, vm.Address)
+}
+
+// ListVM says where another VM is reached by beacons.
+func (c *Controller) ListVM(name, address string) {
+	c.post(func() { c.listVM(name, address) })
+}
+
+func (c *Controller) listVM(name, address string) {
+	if name == c.self.VM {
+		return
+	}
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil || addr.IP == nil {
+		c.log.Warn("vm-passed-over", zap.String("Peer", name), zap.String("Address", address), zap.Error(err))
+		return
 	}
-	c.log.Warn("vm-passed-over", zap.String("Peer", record.Key), zap.Uint64("Offset", record.Offset), zap.Error(err))
+	c.listPeer(name, addr)
 }
 
 func (c *Controller) listPeer(name string, addr peerAddress) {
--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -163,9 +163,9 @@
 func (s *site) settings(v *storeVM, name string, log map[string]any) map[string]any {
 	return map[string]any{
 		"VM": name, "AvailabilityZone": "zone-a",
-		"Listen": map[string]any{"Callers": v.callers, "Readiness": v.readiness, "Metrics": v.metrics, "Peers": freeAddr(s.t)},
-		"Store":  map[string]any{"Address": s.address, "RetrySlack": 20, "Grace": 6000, "Memory": 134},
-		"Log":    log,
+		"Listen":  map[string]any{"Callers": v.callers, "Readiness": v.readiness, "Metrics": v.metrics, "Peers": freeAddr(s.t)},
+		"Gateway": map[string]any{"Store": s.address, "RetrySlack": 20, "Grace": 6000, "Memory": 134},
+		"Log":     log,
 	}
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strings"
 	"time"
@@ -77,6 +79,8 @@
 type Account struct {
 	Name string
 	Keys []string
+	// KeyHashes are hexadecimal SHA-256 sums of further keys.
+	KeyHashes []string
 	// Priority goes before the priority of the route, unless it is negative.
 	Priority int
 	// TokensPerSecond and BurstTokens bound what the account may use on all VMs together. A rate of 0
@@ -112,11 +116,13 @@
 	hosts map[string][]*Route
 	pools map[string]*Pool
 	keys  map[string]*Account
+	// hashes are the accounts by the hashes of their keys.
+	hashes map[string]*Account
 }
 
 // NewTable indexes declarations.
 func NewTable(d Declarations) *Table {
-	t := &Table{Declarations: d, hosts: map[string][]*Route{}, pools: map[string]*Pool{}, keys: map[string]*Account{}}
+	t := &Table{Declarations: d, hosts: map[string][]*Route{}, pools: map[string]*Pool{}, keys: map[string]*Account{}, hashes: map[string]*Account{}}
 	for i := range d.Routes {
 		route := &d.Routes[i]
 		host := hostName(route.Host)
@@ -133,6 +139,9 @@
 		for _, key := range account.Keys {
 			t.keys[key] = account
 		}
+		for _, hash := range account.KeyHashes {
+			t.hashes[strings.ToLower(hash)] = account
+		}
 	}
 	return t
 }
@@ -165,6 +174,10 @@
 // AccountOfKey returns the account that holds a key.
 func (t *Table) AccountOfKey(key string) (*Account, bool) {
 	account, ok := t.keys[key]
+	if !ok && len(t.hashes) > 0 && key != "" {
+		sum := sha256.Sum256([]byte(key))
+		account, ok = t.hashes[hex.EncodeToString(sum[:])]
+	}
 	return account, ok
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -45,9 +45,12 @@
 	if err := json.Unmarshal(standard.Pack(), &cfg); err != nil {
 		check.add("", err.Error())
 	}
-	check.store = cfg.Store.Address != ""
+	check.gateway = cfg.Gateway.Enabled()
 	check.values(reflect.ValueOf(cfg), "")
 	check.access(cfg.Access)
+	if cfg.Gateway.Store != "" && cfg.Gateway.File != "" {
+		check.add("/Gateway/File", "the gateway has a store already")
+	}
 	if len(check.faults) > 0 {
 		return Settings{}, &Error{Op: "check settings", Kind: ErrInvalid, Faults: check.faults}
 	}
@@ -77,8 +80,8 @@
 	source []byte
 	root   hujson.Value
 	faults []Fault
-	// store says that the settings name a store, which takes the place of the log and the list.
-	store bool
+	// gateway says that the VM serves as a gateway, which needs no log and no list.
+	gateway bool
 }
 
 func (c *checker) add(pointer, reason string) {
@@ -146,12 +149,12 @@
 	}
 }
 
-// requiredWithoutStore marks fields that must be set unless the settings name a store.
-const requiredWithoutStore = "without Store"
+// requiredWithoutGateway marks fields that must be set unless the VM serves as a gateway.
+const requiredWithoutGateway = "without Gateway"
 
 func (c *checker) text(pointer, value string, tag reflect.StructTag) {
 	switch {
-	case value == "" && c.store && tag.Get("required") == requiredWithoutStore:
+	case value == "" && c.gateway && tag.Get("required") == requiredWithoutGateway:
 	case value == "" && tag.Get("required") != "":
 		c.add(pointer, "must be set")
 	case value == "":
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,7 +12,7 @@
 	AvailabilityZone string `doc:"Availability zone of this VM." required:"true"`
 	Listen           Listen
 	Platform         Platform
-	Store            Store
+	Gateway          Gateway
 	Access           Access
 	Limits           Limits
 	Timing           Timing
@@ -23,22 +23,23 @@
 type Listen struct {
 	Callers   string `doc:"IP address and port for callers." default:"127.0.0.1:8080" kind:"address"`
 	Operators string `doc:"IP address and port for the resource API, metrics and health." default:"127.0.0.1:8081" kind:"address"`
-	Peers     string `doc:"IP address and port for the other VMs. The platform's list must give the same. With Store, beacons come there as datagrams." default:"127.0.0.1:8082" kind:"address"`
-	Readiness string `doc:"With Store: IP address and port where the balancer asks whether this VM takes connections." default:"127.0.0.1:8083" kind:"address"`
-	Metrics   string `doc:"With Store: IP address and port for metrics." default:"127.0.0.1:8084" kind:"address"`
+	Peers     string `doc:"IP address and port for the other VMs. The platform's list must give the same. With Gateway, beacons come there as datagrams." default:"127.0.0.1:8082" kind:"address"`
+	Readiness string `doc:"With Gateway: IP address and port where the balancer asks whether this VM takes connections." default:"127.0.0.1:8083" kind:"address"`
+	Metrics   string `doc:"With Gateway: IP address and port for metrics." default:"127.0.0.1:8084" kind:"address"`
 }
 
 // Platform says where the platform's services are.
 type Platform struct {
-	Log    string `doc:"Base URL of the append-only log." required:"without Store" kind:"url"`
-	List   string `doc:"Base URL of the list of VMs." required:"without Store" kind:"url"`
+	Log    string `doc:"Base URL of the append-only log." required:"without Gateway" kind:"url"`
+	List   string `doc:"Base URL of the list of VMs." required:"without Gateway" kind:"url"`
 	Stream string `doc:"Stream of the log that holds the agreed state." default:"cassiabridge"`
 }
 
-// Store says where the metadata store of a platform is that has its own operators' interface. With it the VM serves the
-// routes that it finds there, and needs no log and no list.
-type Store struct {
-	Address     string  `doc:"IP address and port of the platform's metadata store. Empty: the VM uses Platform instead." kind:"address"`
+// Gateway makes the VM serve routes by host and path. It finds them in the metadata store of a platform that has its own
+// operators' interface, or in a file, and needs no log and no list.
+type Gateway struct {
+	Store       string  `doc:"IP address and port of the platform's metadata store. Empty: the VM uses File or else Platform." kind:"address"`
+	File        string  `doc:"File that declares routes, pools, upstreams, accounts and VMs (DECLARATIONS.md), where there is no store. It is read again at SIGHUP."`
 	RetryRatio  float64 `doc:"Share of the requests for a pool that all VMs together may send to a further upstream." default:"0.2" min:"0" max:"1"`
 	RetrySlack  float64 `doc:"Requests that may be sent to a further upstream besides, in each window." default:"20" min:"0" max:"1000000"`
 	RetryWindow int     `doc:"Window of the retry budget, in milliseconds." default:"10000" min:"100" max:"600000"`
@@ -46,9 +47,12 @@
 	Memory      int     `doc:"Memory that the process may use, in megabytes. 0: no limit is known." default:"0" min:"0" max:"10000000"`
 }
 
+// Enabled reports whether the VM serves as a gateway.
+func (g Gateway) Enabled() bool { return g.Store != "" || g.File != "" }
+
 // Access holds the credentials of peers and operators.
 type Access struct {
-	PeerSecret string     `doc:"Secret shared by all VMs, with which a peer proves itself. At least 16 characters." required:"without Store" secret:"true"`
+	PeerSecret string     `doc:"Secret shared by all VMs, with which a peer proves itself. At least 16 characters." required:"without Gateway" secret:"true"`
 	Operators  []Operator `doc:"Operators who may use the resource API."`
 }
 
--- a/standin/configuration.go
+++ b/standin/configuration.go
@@ -17,6 +17,34 @@
 	headerSource   = "Kv-Source"
 )
 
+// Headers of installations without a platform.
+const (
+	OwnHeaderAttempt = "Cassiabridge-Attempt"
+	OwnHeaderTokens  = "Cassiabridge-Tokens"
+	OwnHeaderAccount = "Cassiabridge-Account"
+)
+
+// replicaWire is how a replica is spoken to.
+type replicaWire struct {
+	attempt, tokens, replica, stage, prefill, source, notRun string
+	// resultPath is where results of prefills are freed.
+	resultPath string
+	// prefillAnswer is the answer of a prefill.
+	prefillAnswer func(handle string, tokens int) any
+}
+
+// platformWire is that of the users' platform, and ownWire this project's own.
+var (
+	platformWire = replicaWire{attempt: HeaderAttempt, tokens: HeaderTokens, replica: HeaderReplica, stage: HeaderStage, prefill: "prefill", source: headerSource,
+		notRun: headerNotRun, resultPath: "/api/kv-handle/", prefillAnswer: func(handle string, tokens int) any {
+			return map[string]any{"kvHandle": handle, "tokens": tokens, "version": 1}
+		}}
+	ownWire = replicaWire{attempt: OwnHeaderAttempt, tokens: OwnHeaderTokens, replica: "Cassiabridge-Upstream", stage: "Cassiabridge-Stage", prefill: "Prefill",
+		source: "Cassiabridge-Source", notRun: "Cassiabridge-Not-Run", resultPath: "/results/", prefillAnswer: func(handle string, tokens int) any {
+			return map[string]any{"Handle": handle, "Tokens": tokens}
+		}}
+)
+
 // Configuration is what the operator of the users' platform writes.
 type Configuration struct {
 	Version  int              `json:"version"`
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -21,6 +21,8 @@
 	Events int
 	// MemoryTokens bounds the prompts and answers that a decode engine holds. 0 means no bound.
 	MemoryTokens int
+	// Own says that it speaks this project's own format, not that of the users' platform.
+	Own bool
 }
 
 // ReplicaFaults says how a replica misbehaves.
@@ -52,7 +54,8 @@
 
 // Replica takes the place of an upstream of the users' platform.
 type Replica struct {
-	cfg ReplicaConfig
+	cfg  ReplicaConfig
+	wire replicaWire
 
 	mu      sync.Mutex
 	faults  ReplicaFaults
@@ -64,7 +67,13 @@
 }
 
 // NewReplica returns a replica.
-func NewReplica(cfg ReplicaConfig) *Replica { return &Replica{cfg: cfg, handles: map[string]bool{}} }
+func NewReplica(cfg ReplicaConfig) *Replica {
+	wire := platformWire
+	if cfg.Own {
+		wire = ownWire
+	}
+	return &Replica{cfg: cfg, wire: wire, handles: map[string]bool{}}
+}
 
 // SetFaults changes the faults in force.
 func (p *Replica) SetFaults(faults ReplicaFaults) {
@@ -110,7 +119,7 @@
 // Handler serves requests. take fetches a prefill result by its address and handle.
 func (p *Replica) Handler(take func(source string) bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if handle, found := strings.CutPrefix(r.URL.Path, "/api/kv-handle/"); found && r.Method == http.MethodDelete {
+		if handle, found := strings.CutPrefix(r.URL.Path, p.wire.resultPath); found && r.Method == http.MethodDelete {
 			p.Take(handle)
 			return
 		}
@@ -120,7 +129,7 @@
 
 func (p *Replica) serve(w http.ResponseWriter, r *http.Request, take func(string) bool) {
 	body, _ := io.ReadAll(r.Body)
-	w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+	w.Header().Set(p.wire.attempt, r.Header.Get(p.wire.attempt))
 	p.mu.Lock()
 	faults := p.faults
 	p.mu.Unlock()
@@ -128,7 +137,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if target := r.Header.Get(HeaderReplica); target != "" && target != p.cfg.ID {
+	if target := r.Header.Get(p.wire.replica); target != "" && target != p.cfg.ID {
 		p.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
@@ -136,7 +145,7 @@
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
-	size := tokensOf(r.Header.Get(HeaderTokens))
+	size := tokensOf(r.Header.Get(p.wire.tokens))
 	if p.cfg.Stage == "decode" && !p.reserve(size) {
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
@@ -144,7 +153,7 @@
 	if p.cfg.Stage == "decode" {
 		defer p.reserve(-size)
 	}
-	if source := r.Header.Get(headerSource); source != "" && !take(source) {
+	if source := r.Header.Get(p.wire.source); source != "" && !take(source) {
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
@@ -171,7 +180,7 @@
 	p.refused++
 	p.mu.Unlock()
 	if status != http.StatusMisdirectedRequest {
-		w.Header().Set(headerNotRun, "1")
+		w.Header().Set(p.wire.notRun, "1")
 	}
 	w.WriteHeader(status)
 }
@@ -189,8 +198,8 @@
 func (p *Replica) begin(r *http.Request, body string) *Run {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	run := &Run{Attempt: r.Header.Get(HeaderAttempt), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: body,
-		Prefill: r.Header.Get(HeaderStage) == "prefill"}
+	run := &Run{Attempt: r.Header.Get(p.wire.attempt), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: body,
+		Prefill: r.Header.Get(p.wire.stage) == p.wire.prefill}
 	p.runs = append(p.runs, run)
 	return run
 }
@@ -209,7 +218,7 @@
 		handle := fmt.Sprintf("%s-%d", p.cfg.ID, p.next)
 		p.handles[handle] = true
 		p.mu.Unlock()
-		writeJSON(w, map[string]any{"kvHandle": handle, "tokens": tokensOf(r.Header.Get(HeaderTokens)), "version": 1})
+		writeJSON(w, p.wire.prefillAnswer(handle, tokensOf(r.Header.Get(p.wire.tokens))))
 		return true
 	}
 	w.Header().Set(HeaderReceipt, "by "+p.cfg.ID)
@@ -245,7 +254,7 @@
 		if !wait(r, p.cfg.Work) {
 			return false
 		}
-		event := StreamEvent(r.Header.Get(HeaderAttempt), n)
+		event := StreamEvent(r.Header.Get(p.wire.attempt), n)
 		if faults.CutAfter > 0 && n > faults.CutAfter {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = flusher.Flush()
