Let VMs that start take over the levels of rates, and keep counts heard before declarations

A VM that starts beside others began with full buckets, so each start admitted up to a burst more (11,100 tokens in 8 s where 11,023 were allowed). The second one is older; it showed when the first was mended, since the first beacon then came sooner.

Ruled out: starting with a tenth of a full bucket.

Change: beacons say the levels for a second after a VM has started, and one that started later takes them over. Counts are kept by run, whether the account is known or not.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -56,6 +56,8 @@
 	startedAt time.Time
 	nudgedAt  time.Time
 	beacon    beaconState
+	// tellLevelsUntil is until when beacons say the levels of accounts, for VMs that are starting.
+	tellLevelsUntil time.Time
 }
 
 // Option changes a new Controller.
--- a/gateway/controller_test.go
+++ b/gateway/controller_test.go
@@ -239,3 +239,15 @@
 		assert.Zero(t, ask(c.Controller, func() int { return len(c.peers) }))
 	})
 }
+
+func TestBeaconsBeforeDeclarations(t *testing.T) {
+	c := newControlled(t)
+	c.ListVM("vm-2", "127.0.0.1:9")
+	beacon := peer.Beacon{VM: "vm-2", Incarnation: "y", Sequence: 1, Uptime: time.Hour, Spent: map[string]float64{"a": 1e6}, Levels: map[string]float64{"a": 60}}
+	c.HearBeacon(beacon)
+	c.SetDeclarations(routing.Declarations{Version: 1, Accounts: []routing.Account{{Name: "a", TokensPerSecond: 1, BurstTokens: 100}}})
+	beacon.Sequence++
+	c.HearBeacon(beacon)
+	assert.False(t, c.admit("a", "p", 80).ok, "the level of the VM that had been running")
+	assert.True(t, c.admit("a", "p", 50).ok, "what it had admitted before is not taken off")
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -22,6 +22,10 @@
 	nudgePause = 500 * time.Millisecond
 	// silentAfter is the silence after which the loads of a VM are forgotten and its share of rates is left to it.
 	silentAfter = 1500 * time.Millisecond
+	// sameStart is the difference in uptime within which VMs count as started together.
+	sameStart = 2 * time.Second
+	// newcomerTime is how long VMs tell the levels of accounts after a VM has started.
+	newcomerTime = time.Second
 	// goneAfter is the silence after which a VM is no longer counted. Cuts of the network last some seconds.
 	goneAfter = 60 * time.Second
 )
@@ -135,11 +139,17 @@
 		if b.Uptime > now.Sub(c.startedAt) {
 			// The peer admitted most of this before this process started.
 			c.keeper.Joined(run, b.Spent)
+		} else {
+			c.tellLevelsUntil = now.Add(newcomerTime)
+			c.beacon.dirty = true
 		}
 		c.log.Info("vm-heard", zap.String("Peer", b.VM), zap.String("Incarnation", b.Incarnation), zap.Duration("Uptime", b.Uptime))
 	case p.silent && !p.heardAt.IsZero():
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.heardAt)))
 	}
+	if b.Levels != nil && b.Uptime-now.Sub(c.startedAt) > sameStart {
+		c.keeper.Adopt(b.Levels)
+	}
 	late := p.silent && p.incarnation == b.Incarnation
 	p.incarnation, p.sequence, p.heardAt, p.silent, p.leaving, p.version = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version
 	c.keeper.Heard(now, run, b.Spent, late)
@@ -214,6 +224,9 @@
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
 		Leaving: c.leaving.Load(), Loads: c.board.OwnLoads(), Waiting: c.board.WaitingMemory(), Spent: c.keeper.Spent(), Replaced: c.board.ReplacedIDs(),
 		ListRead: -time.Millisecond, ListChanged: c.reads.changed}
+	if now.Before(c.tellLevelsUntil) {
+		b.Levels = c.keeper.Levels(now)
+	}
 	if !c.reads.readAt.IsZero() {
 		b.ListRead = now.Sub(c.reads.readAt)
 	}
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -37,6 +37,8 @@
 	Waiting map[string]int
 	// Spent are the tokens admitted since the start of the process, by account.
 	Spent map[string]float64
+	// Levels are the tokens that accounts may use on all VMs together. They are sent while VMs are starting.
+	Levels map[string]float64
 	// Replaced are the listed replicas at whose addresses others answer.
 	Replaced []string
 	// ListRead says when the list of replicas was read last, before the beacon was sent. Negative: never.
@@ -54,6 +56,7 @@
 	Loads           map[string][2]int  `json:",omitempty"`
 	Waiting         map[string]int     `json:",omitempty"`
 	Spent           map[string]float64 `json:",omitempty"`
+	Levels          map[string]float64 `json:",omitempty"`
 	Replaced        []string           `json:",omitempty"`
 	ListReadMillis  int64
 	ListChanged     uint64
@@ -61,7 +64,7 @@
 
 func encodeBeacon(b Beacon) ([]byte, error) {
 	m := beaconMessage{VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version,
-		Leaving: b.Leaving, Waiting: b.Waiting, Spent: b.Spent, Replaced: b.Replaced, Loads: make(map[string][2]int, len(b.Loads)),
+		Leaving: b.Leaving, Waiting: b.Waiting, Spent: b.Spent, Levels: b.Levels, Replaced: b.Replaced, Loads: make(map[string][2]int, len(b.Loads)),
 		ListReadMillis: b.ListRead.Milliseconds(), ListChanged: b.ListChanged}
 	for id, load := range b.Loads {
 		m.Loads[id] = [2]int{load.Requests, load.Tokens}
@@ -89,7 +92,7 @@
 		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: errors.New("it names no VM")}
 	}
 	b := Beacon{VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: time.Duration(m.UptimeMillis) * time.Millisecond,
-		Version: m.Version, Leaving: m.Leaving, Waiting: m.Waiting, Spent: m.Spent, Replaced: m.Replaced, Loads: make(map[string]placement.Load, len(m.Loads)),
+		Version: m.Version, Leaving: m.Leaving, Waiting: m.Waiting, Spent: m.Spent, Levels: m.Levels, Replaced: m.Replaced, Loads: make(map[string]placement.Load, len(m.Loads)),
 		ListRead: time.Duration(m.ListReadMillis) * time.Millisecond, ListChanged: m.ListChanged}
 	for id, load := range m.Loads {
 		b.Loads[id] = placement.Load{Requests: load[0], Tokens: load[1]}
--- a/peer/beacon_test.go
+++ b/peer/beacon_test.go
@@ -19,7 +19,7 @@
 	defer closeListener()
 	addr := listener.conn.LocalAddr().(*net.UDPAddr)
 	sent := Beacon{VM: "vm-1", Incarnation: "x", Sequence: 3, Uptime: 4 * time.Second, Version: 7, Leaving: true, Replaced: []string{"i-9"},
-		Loads: map[string]placement.Load{"i-1": {Requests: 2, Tokens: 9000}}, Waiting: map[string]int{"p": 5}, Spent: map[string]float64{"a": 12.5},
+		Loads: map[string]placement.Load{"i-1": {Requests: 2, Tokens: 9000}}, Waiting: map[string]int{"p": 5}, Spent: map[string]float64{"a": 12.5}, Levels: map[string]float64{"a": -3},
 		ListRead: 300 * time.Millisecond, ListChanged: 77}
 	require.NoError(t, listener.Send(sent, []*net.UDPAddr{addr}))
 	select {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,13 +25,12 @@
 
 // bucket is the estimate for one account.
 type bucket struct {
-	terms Terms
-	level float64
-	last  time.Time
+	account string
+	terms   Terms
+	level   float64
+	last    time.Time
 	// spent counts the tokens that this VM has admitted since its start.
 	spent float64
-	// heard is the count of each other VM that has been taken from the level.
-	heard map[string]float64
 }
 
 // Keeper holds the buckets of all accounts. It is not safe for concurrent use.
@@ -39,16 +38,25 @@
 	buckets map[string]*bucket
 	// peers and silent are how many other VMs there are, and how many of them are not heard.
 	peers, silent int
+	// heard are the counts of other VMs' runs that have been taken from the levels, by run and account.
+	heard map[string]map[string]float64
+	// adopted are the levels that a VM said which had been running when this one started. Nil: none has.
+	adopted map[string]float64
 }
 
 // NewKeeper returns a keeper without accounts.
-func NewKeeper() *Keeper { return &Keeper{buckets: map[string]*bucket{}} }
+func NewKeeper() *Keeper {
+	return &Keeper{buckets: map[string]*bucket{}, heard: map[string]map[string]float64{}}
+}
 
-// Configure sets the terms of an account, and reports whether they are new. A new account starts with a full bucket.
+// Configure sets the terms of an account, and reports whether they are new. A new account starts with a full bucket, unless
+// another VM's level was adopted.
 func (k *Keeper) Configure(now time.Time, account string, terms Terms) bool {
 	b := k.buckets[account]
 	if b == nil {
-		k.buckets[account] = &bucket{terms: terms, level: terms.Burst, last: now, heard: map[string]float64{}}
+		b = &bucket{account: account, terms: terms, level: terms.Burst, last: now}
+		k.buckets[account] = b
+		b.adopt(k.adopted)
 		return true
 	}
 	if b.terms == terms {
@@ -140,38 +148,56 @@
 	return spent
 }
 
-// Heard takes what a run of another VM's process has admitted since its start. late says that the VM had been silent.
-func (k *Keeper) Heard(now time.Time, vm string, spent map[string]float64, late bool) {
-	for account, total := range spent {
-		b := k.buckets[account]
-		if b == nil {
+// Heard takes what a run of another VM's process has admitted since its start, nothing for accounts that it does not name.
+// late says that the VM had been silent.
+func (k *Keeper) Heard(now time.Time, run string, spent map[string]float64, late bool) {
+	before := k.heard[run]
+	k.heard[run] = spent
+	for account, b := range k.buckets {
+		news := spent[account] - before[account]
+		if news == 0 {
 			continue
 		}
 		k.refill(now, b)
-		if news := total - b.heard[vm]; news != 0 {
-			before := b.level
-			b.level = math.Min(b.level-news, b.terms.Burst)
-			if late {
-				b.level = math.Max(b.level, math.Min(before, -maxDebtShare*b.terms.Burst))
-			}
+		level := math.Min(b.level-news, b.terms.Burst)
+		if late {
+			level = math.Max(level, math.Min(b.level, -maxDebtShare*b.terms.Burst))
 		}
-		b.heard[vm] = total
+		b.level = level
 	}
 }
 
 // Joined notes what a run of another VM's process had admitted before this VM heard it first, so that it is
-// not taken from a bucket that has counted it already or never could.
-func (k *Keeper) Joined(vm string, spent map[string]float64) {
-	for account, total := range spent {
-		if b := k.buckets[account]; b != nil {
-			b.heard[vm] = total
-		}
+// not taken from a bucket that has counted it already or never could. The accounts need not be known yet.
+func (k *Keeper) Joined(run string, spent map[string]float64) { k.heard[run] = spent }
+
+// Levels returns the tokens that each account may use now.
+func (k *Keeper) Levels(now time.Time) map[string]float64 {
+	levels := make(map[string]float64, len(k.buckets))
+	for name, b := range k.buckets {
+		k.refill(now, b)
+		levels[name] = b.level
 	}
+	return levels
 }
 
-// Left forgets the counts of a run of another VM's process.
-func (k *Keeper) Left(vm string) {
+// Adopt takes the levels of a VM that had been running when this one started, in place of full buckets. Only the first
+// ones count.
+func (k *Keeper) Adopt(levels map[string]float64) {
+	if k.adopted != nil {
+		return
+	}
+	k.adopted = levels
 	for _, b := range k.buckets {
-		delete(b.heard, vm)
+		b.adopt(levels)
+	}
+}
+
+func (b *bucket) adopt(levels map[string]float64) {
+	if level, ok := levels[b.account]; ok {
+		b.level = math.Min(b.level, level)
 	}
 }
+
+// Left forgets the counts of a run of another VM's process.
+func (k *Keeper) Left(run string) { delete(k.heard, run) }
