--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -105,13 +105,14 @@
 	}
 	log.Info("started", zap.String("Incarnation", self.Incarnation), zap.String("Version", Version), zap.String("Callers", cfg.Listen.Callers),
 		zap.String("Store", cfg.Gateway.Store), zap.String("File", cfg.Gateway.File), zap.String("Zone", cfg.AvailabilityZone))
-	if err := waitForStop(ctx, log, hangups, func() (settings.Settings, error) {
+	reloadAll := func() (settings.Settings, error) {
 		cfg, err := reload()
 		if err != nil {
 			return cfg, err
 		}
 		return cfg, from.reload(control)
-	}, failed); err != nil {
+	}
+	if err := waitForStop(ctx, log, hangups, reloadAll, failed); err != nil {
 		return err
 	}
 	return leave(cfg, control, stopCallers, log)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -46,7 +46,6 @@
 	sequence    uint64
 	listedAt    time.Time
 	heardAt     time.Time
-	version     uint64
 	leaving     bool
 	silent      bool
 	// listReadAt is when the VM read the list of replicas last.
@@ -147,12 +146,12 @@
 	case p.silent && !p.heardAt.IsZero():
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.heardAt)))
 	}
+	late := p.silent && p.incarnation == b.Incarnation
+	p.incarnation, p.sequence, p.heardAt, p.silent, p.leaving = b.Incarnation, b.Sequence, now, false, b.Leaving
+	c.keeper.Heard(now, run, b.Spent, late)
 	if b.Levels != nil && b.Uptime-now.Sub(c.startedAt) > sameStart {
 		c.keeper.Adopt(b.Levels)
 	}
-	late := p.silent && p.incarnation == b.Incarnation
-	p.incarnation, p.sequence, p.heardAt, p.silent, p.leaving, p.version = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version
-	c.keeper.Heard(now, run, b.Spent, late)
 	c.board.SetPeerLoads(b.VM, b.Loads)
 	c.board.SetPeerWaiting(b.VM, b.Waiting)
 	for _, id := range b.Replaced {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -67,8 +67,6 @@
 	// avoid lists the upstreams that have failed the request.
 	avoid []string
 	notes []zap.Field
-	// releaseBody gives back the memory that the body takes.
-	releaseBody func()
 }
 
 func (r *request) accountName() string {
@@ -80,12 +78,11 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, httpRequest *http.Request) {
-	r := &request{http: httpRequest, arrived: s.control.now(), call: s.protocol.ReadCall(httpRequest.Header), target: requestTarget(httpRequest), releaseBody: func() {}}
+	r := &request{http: httpRequest, arrived: s.control.now(), call: s.protocol.ReadCall(httpRequest.Header), target: requestTarget(httpRequest)}
 	r.w = &answerWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
 	if s.control.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { r.releaseBody() }()
 	refusal := s.serve(r)
 	s.note(r, refusal)
 	if refusal == nil {
@@ -114,7 +111,12 @@
 	if refusal := s.identify(r); refusal != nil {
 		return refusal
 	}
-	if refusal := s.readBody(r); refusal != nil {
+	length := r.http.ContentLength
+	if !s.bodies.take(length) {
+		return refuse("read body", ErrOverload, "too many long bodies are under way").withRetryAfter(noUpstreamRetry)
+	}
+	defer s.bodies.giveBack(length)
+	if refusal := r.readBody(); refusal != nil {
 		return refusal
 	}
 	ctx, cancel := context.WithDeadline(r.http.Context(), r.until)
@@ -199,11 +201,7 @@
 }
 
 // readBody reads the whole body, so that it can be sent to more than one upstream.
-func (s *Server) readBody(r *request) *Error {
-	if !s.bodies.take(r.http.ContentLength) {
-		return refuse("read body", ErrOverload, "too many long bodies are under way").withRetryAfter(noUpstreamRetry)
-	}
-	r.releaseBody = func() { s.bodies.giveBack(r.http.ContentLength) }
+func (r *request) readBody() *Error {
 	body := r.http.Body
 	if limit := r.table.Limits.BodyBytes; limit > 0 {
 		body = http.MaxBytesReader(r.w.ResponseWriter, body, limit)
