--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -150,7 +150,9 @@
 	p.incarnation, p.sequence, p.heardAt, p.silent, p.leaving = b.Incarnation, b.Sequence, now, false, b.Leaving
 	c.keeper.Heard(now, run, b.Spent, late)
 	if b.Levels != nil && b.Uptime-now.Sub(c.startedAt) > sameStart {
-		c.keeper.Adopt(b.Levels)
+		if c.keeper.Adopt(b.Levels) {
+			c.log.Info("rates-adopted", zap.String("Peer", b.VM), zap.Int("Accounts", len(b.Levels)), zap.Duration("Uptime", b.Uptime))
+		}
 	}
 	c.board.SetPeerLoads(b.VM, b.Loads)
 	c.board.SetPeerWaiting(b.VM, b.Waiting)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -182,15 +182,16 @@
 }
 
 // Adopt takes the levels of a VM that had been running when this one started, in place of full buckets. Only the first
-// ones count.
-func (k *Keeper) Adopt(levels map[string]float64) {
+// ones count; it returns false for others.
+func (k *Keeper) Adopt(levels map[string]float64) bool {
 	if k.adopted != nil {
-		return
+		return false
 	}
 	k.adopted = levels
 	for _, b := range k.buckets {
 		b.adopt(levels)
 	}
+	return true
 }
 
 func (b *bucket) adopt(levels map[string]float64) {
