Count a further prefill beside the run that follows, and start with little of the retry slack

After a loss of power of all VMs the decode engines were full of the requests of before and refused. Each further try was one repeat in our count, but two arrivals at the engines, a prefill and a run: only the first prefill that is accepted is free.

Ruled out: the state machine of attempts (each request stayed within its attempts), and the split among VMs (the budget for each VM is even).

Change: a try after an accepted prefill takes two arrivals; a process starts with 0.15 of its slack, so that saved, new and incoming parts add up to it.

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -6,11 +6,14 @@
 	defaultRetryRatio  = 0.2
 	defaultRetrySlack  = 5.0
 	defaultRetryWindow = 10 * time.Second
-	// ratioShare is the part of the budget's share of requests that is used, savedShare the part of its slack that may be
-	// saved up, and inflowShare the part that flows in over a window. The rest covers requests that are counted in the
-	// window beside theirs.
-	ratioShare  = 0.8
+	// ratioShare is the part of the budget's share of requests that is used. The rest covers requests that are counted in
+	// the window beside theirs.
+	ratioShare = 0.8
+	// savedShare is the part of the slack that may be saved up, startShare the part that a process has at its start, and
+	// inflowShare the part that flows in over a window. They add up to the slack, which holds though all VMs use up what
+	// they have, are restarted, and do so again.
 	savedShare  = 0.75
+	startShare  = 0.15
 	inflowShare = 0.1
 )
 
@@ -43,7 +46,7 @@
 func (b *retryBudget) pool(now time.Time, name string) *poolBudget {
 	p := b.pools[name]
 	if p == nil {
-		p = &poolBudget{level: b.capacity(), last: now}
+		p = &poolBudget{level: startShare * b.slack / float64(b.vms), last: now}
 		b.pools[name] = p
 	}
 	inflow := inflowShare * b.slack / float64(b.vms) / b.window.Seconds()
@@ -58,12 +61,12 @@
 	p.level = min(p.level+ratioShare*b.ratio, b.capacity())
 }
 
-// take takes one repeat, or returns false if none is left.
-func (b *retryBudget) take(now time.Time, pool string) bool {
+// take takes some repeats, or returns false if not as many are left.
+func (b *retryBudget) take(now time.Time, pool string, arrivals int) bool {
 	p := b.pool(now, pool)
-	if p.level < 1 {
+	if p.level < float64(arrivals) {
 		return false
 	}
-	p.level--
+	p.level -= float64(arrivals)
 	return true
 }
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -216,9 +216,9 @@
 	c.post(func() { c.keeper.Return(c.now(), account, tokens) })
 }
 
-// mayRepeat takes one further arrival at a pool from the retry budget.
-func (c *Controller) mayRepeat(pool string) bool {
-	return ask(c, func() bool { return c.budget.take(c.now(), pool) })
+// mayRepeat takes further arrivals at a pool from the retry budget.
+func (c *Controller) mayRepeat(pool string, arrivals int) bool {
+	return ask(c, func() bool { return c.budget.take(c.now(), pool, arrivals) })
 }
 
 // place waits until engines are chosen for a request, or it is refused. The returned ID must be released.
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -35,6 +35,17 @@
 	r      *request
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent string
+	// prefilled says that an engine has read the prompt once.
+	prefilled bool
+}
+
+// arrivals is how many arrivals a further try counts against the retry budget: the first prefill that an engine accepts
+// is free.
+func (g *generation) arrivals() int {
+	if g.prefilled {
+		return 2
+	}
+	return 1
 }
 
 // generate serves a request by a prefill and a decode engine.
@@ -48,7 +59,7 @@
 	for {
 		r.state = r.state.WithOffer()
 		refusal, step := g.try(ctx)
-		if refusal == nil || !s.goesOn(ctx, r, step) {
+		if refusal == nil || !s.goesOn(ctx, r, step, g.arrivals()) {
 			return refusal
 		}
 	}
@@ -139,6 +150,7 @@
 		r.avoid = append(r.avoid, at.ID)
 		return "", exchanged{outcome: attempt.Failed, err: err}
 	}
+	g.prefilled = true
 	s.metrics.PrefillTokens.Add(float64(tokens))
 	return handle, x
 }
@@ -171,7 +183,7 @@
 		if r.state.MayRun() && x.outcome != attempt.InDoubt && ctx.Err() == nil && s.control.now().Before(fetchBy) {
 			next, found = s.control.replaceDecode(id)
 		}
-		if found && x.outcome == attempt.Refused && !s.mayRepeat(r) {
+		if found && x.outcome == attempt.Refused && !s.mayRepeat(r, 1) {
 			found, step = false, attempt.End
 		}
 		if !found {
@@ -188,7 +200,7 @@
 func (g *generation) passOn(ctx context.Context, from placement.Replica, x exchanged) (*Error, attempt.Step) {
 	s, r := g.server, g.r
 	failed := x.resp.Status != http.StatusOK
-	again := r.state.Next(x.outcome) == attempt.AgainWithinBudget && s.mayRepeat(r)
+	again := r.state.Next(x.outcome) == attempt.AgainWithinBudget && s.mayRepeat(r, g.arrivals())
 	if again || failed && r.w.started {
 		return g.passOver(ctx, from, x.resp, again)
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -32,7 +32,7 @@
 		r.state = r.state.WithOffer()
 		sentAt := s.control.now()
 		x := s.exchange(ctx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), LastEvent: r.call.LastEvent})
-		if !s.goesOn(ctx, r, r.state.Next(x.outcome)) {
+		if !s.goesOn(ctx, r, r.state.Next(x.outcome), 1) {
 			return s.endService(ctx, r, replica, x, s.control.now().Sub(sentAt))
 		}
 		s.control.releaseService(replica.ID, 0)
@@ -44,13 +44,13 @@
 	}
 }
 
-// goesOn reports whether a request is offered to a further upstream, and takes the repeat from the budget.
-func (s *Server) goesOn(ctx context.Context, r *request, step attempt.Step) bool {
+// goesOn reports whether a request is offered to a further upstream, and takes the arrivals there from the budget.
+func (s *Server) goesOn(ctx context.Context, r *request, step attempt.Step, arrivals int) bool {
 	switch {
 	case ctx.Err() != nil:
 		return false
 	case step == attempt.AgainWithinBudget:
-		return s.mayRepeat(r)
+		return s.mayRepeat(r, arrivals)
 	}
 	return step == attempt.Again
 }
@@ -65,12 +65,12 @@
 	return s.passOn(r, replica, x.resp)
 }
 
-func (s *Server) mayRepeat(r *request) bool {
-	if !s.control.mayRepeat(r.pool.Name) {
-		s.log.Info("repeat-refused", zap.String("Request", r.call.Attempt), zap.String("Pool", r.pool.Name))
+func (s *Server) mayRepeat(r *request, arrivals int) bool {
+	if !s.control.mayRepeat(r.pool.Name, arrivals) {
+		s.log.Info("repeat-refused", zap.String("Request", r.call.Attempt), zap.String("Pool", r.pool.Name), zap.Int("Arrivals", arrivals))
 		return false
 	}
-	s.metrics.Repeats.WithLabelValues(r.pool.Name).Inc()
+	s.metrics.Repeats.WithLabelValues(r.pool.Name).Add(float64(arrivals))
 	return true
 }
 
--- a/integration/site_calls_test.go
+++ b/integration/site_calls_test.go
@@ -126,6 +126,34 @@
 	})
 }
 
+// TestSiteRepeatsStayWithinTheBudget has all decode engines refuse. What arrives beyond one prefill and one run of each
+// request must stay within the ratio and the slack of the settings.
+func TestSiteRepeatsStayWithinTheBudget(t *testing.T) {
+	const callers, each, ratio, slack = 10, 20, 0.2, 4
+	const requests = callers * each
+	s := newSite(t, 0)
+	s.retrySlack = slack
+	v := s.newVM("vm-0")
+	s.start(v)
+	s.awaitServing(v)
+	for _, id := range []string{"d-0", "d-1"} {
+		s.replicas[id].SetFaults(standin.ReplicaFaults{Refuse: true})
+	}
+	var load sync.WaitGroup
+	for range callers {
+		load.Go(func() {
+			for range each {
+				s.assertNotRun(t, s.send(v, stream("/review/a")))
+			}
+		})
+	}
+	load.Wait()
+	arrivals := s.replicas["d-0"].Refused() + s.replicas["d-1"].Refused() + len(s.replicas["p-0"].Runs()) + len(s.replicas["p-1"].Runs())
+	t.Logf("%d arrivals of %d requests", arrivals, requests)
+	assert.Greater(t, arrivals, requests, "engines were offered work")
+	assert.LessOrEqual(t, float64(arrivals-2*requests), ratio*requests+slack)
+}
+
 func TestSiteRefusalsAreTrue(t *testing.T) {
 	s := newSite(t, 1)
 	v := s.vms[0]
