--- a/integration/site_calls_test.go
+++ b/integration/site_calls_test.go
@@ -1,9 +1,11 @@
 package integration
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -148,12 +150,50 @@
 		})
 	}
 	load.Wait()
-	arrivals := s.replicas["d-0"].Refused() + s.replicas["d-1"].Refused() + len(s.replicas["p-0"].Runs()) + len(s.replicas["p-1"].Runs())
+	arrivals := s.arrivals()
 	t.Logf("%d arrivals of %d requests", arrivals, requests)
 	assert.Greater(t, arrivals, requests, "engines were offered work")
 	assert.LessOrEqual(t, float64(arrivals-2*requests), ratio*requests+slack)
 }
 
+// TestSiteRepeatsAreCountedInFull compares what arrives at engines that refuse with what the VM counts as repeats.
+func TestSiteRepeatsAreCountedInFull(t *testing.T) {
+	s := newSite(t, 1)
+	for _, id := range []string{"d-0", "d-1"} {
+		s.replicas[id].SetFaults(standin.ReplicaFaults{Refuse: true})
+	}
+	further := 0
+	for range 5 {
+		before := s.arrivals()
+		s.assertNotRun(t, s.send(s.vms[0], stream("/review/a")))
+		// The first prefill and the first offer of a run are no repeats.
+		further += max(0, s.arrivals()-before-2)
+	}
+	assert.NotZero(t, further)
+	assert.LessOrEqual(t, further, s.metric(s.vms[0], `cassiabridge_repeats_total{pool="engines"}`))
+}
+
+// arrivals returns how many prefills ran, and how many runs were refused.
+func (s *site) arrivals() int {
+	return s.replicas["d-0"].Refused() + s.replicas["d-1"].Refused() + len(s.replicas["p-0"].Runs()) + len(s.replicas["p-1"].Runs())
+}
+
+// metric returns a counter of a VM, or 0 if it has none of that name.
+func (s *site) metric(v *storeVM, name string) int {
+	resp, err := http.Get("http://" + v.metrics + "/metrics")
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		if value, found := strings.CutPrefix(scanner.Text(), name+" "); found {
+			count, err := strconv.Atoi(value)
+			require.NoError(s.t, err)
+			return count
+		}
+	}
+	return 0
+}
+
 func TestSiteRefusalsAreTrue(t *testing.T) {
 	s := newSite(t, 1)
 	v := s.vms[0]
