Take a status line with control bytes for no answer

Traced: bytes that an upstream sent after one answer ('HTTP/1.1 200 \0\1', without a line end) reached the VM after it had looked whether the connection was quiet; with the garbled bytes of the next answer they made a line that net/http reads as 200, with a reason of control bytes and a body to the end of the connection. The body happened to be the right one; the rule (MIXED) is broken all the same.

Ruled out: a lost header in our own copy (the maps are copied for each exchange), an early or second answer (both bear the receipt).

Change: readOwn treats such a status line as no answer, so the request is in doubt. TestStrayBytesAreNoAnswer hangs on the code before and passes.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -17,6 +17,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode"
 )
 
 const (
@@ -239,6 +240,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if strings.ContainsFunc(resp.Status, unicode.IsControl) {
+			// Stray bytes before a line end can look like the beginning of an answer.
+			return nil, fmt.Errorf("the status line %q is no answer", resp.Status)
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// TestStrayBytesAreNoAnswer plays an upstream whose bytes after one answer and before the next look like a status line
+// together.
+func TestStrayBytesAreNoAnswer(t *testing.T) {
+	addr, _ := listen(t, answering("HTTP/1.1 200 \x00\x01\x00\xff garbage\r\n\r\nok"))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, _, err := get(ctx, newClient(t), addr)
+	assertKind(t, err, ErrInDoubt)
+}
+
 func TestWhetherARequestWasSent(t *testing.T) {
 	t.Run("nobody listens", func(t *testing.T) {
 		_, _, err := get(context.Background(), newClient(t), "127.0.0.1:1")
