--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -128,30 +128,6 @@
 	c.resources = append(c.resources, document(resource.KindUpstream, name, spec))
 }
 
-// nextPort is the offset of the next port that freeAddr tries.
-var nextPort atomic.Int32
-
-// The ports lie below the kernel's range of ephemeral ports, so that no outgoing connection takes a port
-// after freeAddr has returned it and before the router listens on it.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-)
-
-// freeAddr returns a loopback address that nothing listens on.
-func freeAddr(t testing.TB) string {
-	for range lastPort - firstPort {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1))%(lastPort-firstPort))
-		listener, err := net.Listen("tcp", addr)
-		if err == nil {
-			listener.Close()
-			return addr
-		}
-	}
-	require.Fail(t, "no free port")
-	return ""
-}
-
 // newVM prepares VM n with its relay, log server and settings, without starting its process.
 func (c *cluster) newVM(n int, listServer string, timing map[string]any) *vm {
 	v := &vm{callerAddr: freeAddr(c.t), operatorAddr: freeAddr(c.t), peerAddr: freeAddr(c.t)}
--- a/integration/command_test.go
+++ b/integration/command_test.go
@@ -24,6 +24,7 @@
 }
 
 func TestCommands(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 2, prefills: 1, decodes: 1})
 	file := filepath.Join(t.TempDir(), "declarations.jsonc")
 	write := func(rate string) {
--- a/integration/completions_test.go
+++ b/integration/completions_test.go
@@ -21,6 +21,7 @@
 }
 
 func TestCompletionsAreComplete(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, prefills: 2, decodes: 3, decode: standin.EngineConfig{TokenGap: 2 * time.Millisecond}})
 	key := c.newKey("k1", "schools")
 	completeConcurrently := func(t *testing.T, n int) {
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -79,6 +79,7 @@
 // Every VM must apply an accepted change in time, also across failures of the log and restarts of VMs, and
 // the configuration version of a VM must never decrease.
 func TestConfigurationReachesAllVMs(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3})
 	watch := watchVersions(c)
 	t.Run("many changes", func(t *testing.T) {
@@ -154,6 +155,7 @@
 // The log drops records after the retention time. VMs that start later must read the configuration from a
 // snapshot.
 func TestConfigurationSurvivesLogExpiry(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, retention: 4 * time.Second, timing: map[string]any{"RetentionMillis": 4000}})
 	watch := watchVersions(c)
 	assert.Equal(t, http.StatusOK, c.putAccount(c.vms[0], "kept", 10).status)
--- a/integration/file_test.go
+++ b/integration/file_test.go
@@ -98,6 +98,7 @@
 }
 
 func TestGatewayWithDeclarationsFile(t *testing.T) {
+	t.Parallel()
 	s := newFileSite(t, 2)
 	t.Run("each kind of route", func(t *testing.T) {
 		for _, v := range s.vms {
--- a/integration/input_test.go
+++ b/integration/input_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestMalformedInputIsRefused(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 1, prefills: 1, decodes: 1})
 	key := c.newKey("k1", "schools")
 	base := "http://" + c.vms[0].callerAddr
@@ -59,6 +60,7 @@
 }
 
 func TestOperatorAuthentication(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 1})
 	url := "http://" + c.vms[0].operatorAddr
 	assert.Equal(t, http.StatusUnauthorized, call(http.MethodGet, url+"/v1/resources", "", "").status)
--- a/integration/keys_test.go
+++ b/integration/keys_test.go
@@ -34,6 +34,7 @@
 // VMs must reject a withdrawn key in time, even while the log or their peers are unreachable, and end the
 // streams that it opened.
 func TestWithdrawnKeyIsRejected(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, prefills: 1, decodes: 1, decode: standin.EngineConfig{TokenGap: 50 * time.Millisecond}})
 	withdraw := func(v *vm, name string) response {
 		return c.operatorCall(v, http.MethodPost, "/v1/keys/"+name+"/withdraw", "")
@@ -107,6 +108,7 @@
 // A caller's API key must not reach an upstream in any part of a request. Requests that carry it elsewhere
 // than in the Authorization header are rejected, and headers that are not forwarded are dropped.
 func TestKeysAreNotForwardedToUpstreams(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 1, prefills: 1, decodes: 1})
 	key := c.newKey("k1", "schools")
 	v := c.vms[0]
@@ -150,6 +152,7 @@
 }
 
 func TestRoutesRejectOtherAccounts(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 1, extraResources: []resource.Document{
 		document("ClientAccount", "clinics", `{"TokensPerSecond": 1000, "BurstTokens": 1000}`),
 		document("Route", "stock", `{"Method": "GET", "PathPrefix": "/desk/price/stock", "ServicePool": "desk", "Repeatable": true, "Accounts": ["clinics"]}`),
--- a/integration/lifecycle_test.go
+++ b/integration/lifecycle_test.go
@@ -15,6 +15,7 @@
 
 // A VM that receives SIGTERM must complete the requests that are queued or streaming before it exits.
 func TestGracefulShutdownCompletesRequests(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 2, prefills: 1, decodes: 1, decode: standin.EngineConfig{TokenGap: 20 * time.Millisecond, DecodeSlots: 4}})
 	key := c.newKey("k1", "schools")
 	for _, index := range []int{0, 1} {
@@ -42,6 +43,7 @@
 
 // An upstream marked as leaving must get no new requests once the change is applied, even if the log is slow.
 func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, prefills: 1, decodes: 2, decode: standin.EngineConfig{TokenGap: 2 * time.Millisecond}})
 	key := c.newKey("k1", "schools")
 	stop := make(chan struct{})
@@ -77,6 +79,7 @@
 
 // An error that says not_run promises the caller that no upstream has received the request.
 func TestNotRunErrorsAreAccurate(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 1, prefills: 1, decodes: 1, timing: map[string]any{"ServiceMillis": 500, "QueueMillis": 1000}})
 	key := c.newKey("k1", "schools")
 	receivedRequests := func() int {
@@ -127,6 +130,7 @@
 
 // Orders must reach only the engine that they name, and an older order must not replace a newer one.
 func TestOrdersReachEngines(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, prefills: 1, decodes: 2, decode: standin.EngineConfig{ChecksFencing: false}})
 	c.put(c.vms[0], document("Order", "o1", `{"Upstream": "decode-0", "Action": "LoadModel", "Value": "notes@1"}`))
 	c.put(c.vms[1], document("Order", "o2", `{"Upstream": "decode-0", "Action": "LoadModel", "Value": "notes@2"}`))
--- a/integration/memory_test.go
+++ b/integration/memory_test.go
@@ -14,6 +14,7 @@
 const releaseTimeout = 5 * time.Second
 
 func TestEngineMemoryIsReleased(t *testing.T) {
+	t.Parallel()
 	s := clusterConfig{vms: 3, prefills: 1, decodes: 1, prefill: standin.EngineConfig{PrefillRate: 20_000, Retention: 700 * time.Millisecond, LinkRate: 50_000},
 		decode: standin.EngineConfig{TokenGap: 20 * time.Millisecond, DecodeSlots: 4}}
 	c := newCluster(t, s)
--- a/integration/operations_test.go
+++ b/integration/operations_test.go
@@ -20,6 +20,7 @@
 
 // An operation must not run twice, whichever VM gets a repeated call and whichever response is lost.
 func TestOperationsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, timing: map[string]any{"ServiceMillis": 1000, "AppendMillis": 1500}})
 	key := c.newKey("k1", "schools")
 	t.Run("repeated call through another VM returns the same answer", func(t *testing.T) {
@@ -94,6 +95,7 @@
 
 // After the response of a call is lost, the call must not be sent to another upstream, as it may have run.
 func TestInDoubtCallIsNotRetriedElsewhere(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 1, timing: map[string]any{"ServiceMillis": 1000}})
 	c.put(c.vms[0], document("Upstream", "desk-1", `{"Pool": "desk", "Address": "`+serve(t, c.desk.Handler())+`"}`))
 	key := c.newKey("k1", "schools")
@@ -105,6 +107,7 @@
 // A VM that is suspended while it logs the beginning of an operation must not forward the operation if it
 // resumes too late.
 func TestOperationWriterFrozenBeforeForwarding(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 2, timing: map[string]any{"AppendMillis": 20000}})
 	key := c.newKey("k1", "schools")
 	c.log.SetFaults(standin.Faults{DelayMillis: 300})
@@ -125,6 +128,7 @@
 // If a VM is killed while it waits for the service, other VMs must settle the operation by its status instead
 // of running it again.
 func TestOperationWriterKilledAfterForwarding(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, timing: map[string]any{"ServiceMillis": 1000}})
 	key := c.newKey("k1", "schools")
 	c.desk.SetFaults(standin.Faults{DelayMillis: 400})
--- a/integration/site_lifecycle_test.go
+++ b/integration/site_lifecycle_test.go
@@ -27,6 +27,7 @@
 }
 
 func TestSiteConfigurationReachesAllVMs(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3)
 	awaitSpare := func(t *testing.T) {
 		t.Helper()
@@ -100,6 +101,7 @@
 }
 
 func TestSiteStartsDuringAnOutage(t *testing.T) {
+	t.Parallel()
 	for name, faults := range map[string]standin.Faults{"closing connections": {Down: true}, "silent": {Silent: true}, "busy": {Status: http.StatusServiceUnavailable}} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 1)
@@ -119,6 +121,7 @@
 }
 
 func TestSiteServesWithoutMetrics(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 0)
 	v := s.newVM("vm-0")
 	listener, err := net.Listen("tcp", v.metrics)
@@ -161,6 +164,7 @@
 }
 
 func TestSiteLeavingReplicaGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	scenarios := []struct {
 		name  string
 		id    string
@@ -189,6 +193,7 @@
 }
 
 func TestSiteReplicaEntriesLostInOutage(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	v := s.vms[0]
 	s.store.SetFaults(standin.Faults{Down: true})
@@ -206,6 +211,7 @@
 }
 
 func TestSiteMalformedReplicaEntries(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	entry := func(field string, value any) map[string]any {
 		copied := map[string]any{}
@@ -231,6 +237,7 @@
 }
 
 func TestSiteGracefulStop(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2)
 	slow := s.addReplica(replicaSpec{standin.ReplicaConfig{ID: "d-slow", Stage: "decode", WorkDuration: 50 * time.Millisecond, Events: 40}, engineService})
 	s.store.PutReplica("d-0", nil)
@@ -257,6 +264,7 @@
 }
 
 func TestSiteReloadsSettingsOnSIGHUP(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	v := s.vms[0]
 	v.writeSettings(t, s.settings(v, v.name, map[string]any{"Level": "debug"}))
@@ -271,6 +279,7 @@
 // TestSiteFailureIsTraceableInLogs follows the steps of docs/OPERATIONS.md from the attempt ID of a failed request to
 // the log lines that show its cause.
 func TestSiteFailureIsTraceableInLogs(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	v := s.vms[0]
 	s.replicas["d-0"].SetFaults(standin.ReplicaFaults{Refuse: true})
@@ -291,6 +300,7 @@
 }
 
 func TestSiteMetrics(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	s.send(s.vms[0], streamRequest("/review/a"))
 	resp, err := http.Get("http://" + s.vms[0].metrics + "/metrics")
@@ -305,6 +315,7 @@
 }
 
 func TestSiteVMKilled(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3)
 	s.kill(s.vms[0])
 	s.eventually(4*time.Second, "vm-1 detects that vm-0 is silent", func() bool { return len(s.logLines(s.vms[1], "vm-silent", "Peer=vm-0")) == 1 })
@@ -317,6 +328,7 @@
 // TestSiteRestartsFromCopy guards against a full outage when all VMs restart while the store does not answer
 // for the topics with the configuration or the replicas. The VMs must serve from the copy that they keep in the store.
 func TestSiteRestartsFromCopy(t *testing.T) {
+	t.Parallel()
 	for _, silent := range [][]string{{"keyed.servers"}, {"keyed.op"}, {"keyed.op", "keyed.servers"}} {
 		t.Run(strings.Join(silent, " and "), func(t *testing.T) {
 			s := newSite(t, 2)
--- a/integration/site_oracle_test.go
+++ b/integration/site_oracle_test.go
@@ -167,6 +167,7 @@
 }
 
 func TestSiteAgainstOracles(t *testing.T) {
+	t.Parallel()
 	for _, frozen := range []bool{false, true} {
 		t.Run(fmt.Sprint("VM frozen at random: ", frozen), func(t *testing.T) {
 			s, oracles := newOracleSite(t, *oracleSeed)
--- a/integration/site_requests_test.go
+++ b/integration/site_requests_test.go
@@ -19,6 +19,7 @@
 )
 
 func TestSiteServesEachKindOfRoute(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2)
 	for _, v := range s.vms {
 		for _, path := range []string{"/review/a", "/check/a"} {
@@ -36,6 +37,7 @@
 }
 
 func TestSiteForwardsRequestsUnchanged(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	a := s.send(s.vms[0], siteRequest{method: "PATCH", path: "/release/a%2Fb//c?x=%20&y", body: "the body", timeout: 3 * time.Second, header: map[string]string{
 		"X-Own": "kept", standin.HeaderAccount: "clinics", standin.HeaderReplica: "s-9", standin.HeaderHold: "h", standin.HeaderStage: "prefill", standin.HeaderPriority: "0", "Connection": "X-Gone", "X-Gone": "1"}})
@@ -57,6 +59,7 @@
 }
 
 func TestSiteRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	v := s.vms[0]
 	t.Run("non-idempotent request whose response is lost is not retried", func(t *testing.T) {
@@ -86,6 +89,7 @@
 }
 
 func TestSiteResumesStreams(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	s.replicas["d-0"].SetFaults(standin.ReplicaFaults{CutAfter: 5})
 	for range 6 {
@@ -97,6 +101,7 @@
 }
 
 func TestSiteEngineFailures(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	v := s.vms[0]
 	t.Run("before the first event", func(t *testing.T) {
@@ -108,15 +113,24 @@
 		assert.NotEmpty(t, s.replicas["d-0"].Runs())
 	})
 	t.Run("while resuming a stream of another engine", func(t *testing.T) {
-		s.replicas["d-0"].SetFaults(standin.ReplicaFaults{Fail: true})
+		s := newSite(t, 1)
+		s.replicas["d-0"].SetFaults(standin.ReplicaFaults{FailResumed: true})
 		s.replicas["d-1"].SetFaults(standin.ReplicaFaults{CutAfter: 5})
-		for range 6 {
-			a := s.send(v, streamRequest("/check/a"))
-			assert.False(t, a.complete && a.status == http.StatusOK, "a broken stream must not look complete")
-			if a.status == http.StatusOK {
-				assert.Equal(t, streamBody(a.attempt, 5), a.body, "an error body must not be appended to a stream")
+		resumed := 0
+		// The scheduler chooses between equal engines at random; a stream that starts on d-0 is complete.
+		for range 30 {
+			a := s.send(s.vms[0], streamRequest("/check/a"))
+			require.Equal(t, http.StatusOK, a.status)
+			if a.complete {
+				assert.Equal(t, streamBody(a.attempt, 20), a.body)
+				continue
+			}
+			assert.Equal(t, streamBody(a.attempt, 5), a.body, "an error body must not be appended to a stream")
+			if len(s.runsOf(a.attempt)) == 2 {
+				resumed++
 			}
 		}
+		assert.NotZero(t, resumed, "no stream was resumed on the engine that fails")
 	})
 	t.Run("on a route without retries", func(t *testing.T) {
 		s.replicas["d-0"].SetFaults(standin.ReplicaFaults{Fail: true})
@@ -132,6 +146,7 @@
 // whatever arrives beyond one prefill and one decode per request must stay within the retry budget (ratio and slack) of
 // the settings.
 func TestSiteRetriesStayWithinBudget(t *testing.T) {
+	t.Parallel()
 	const callers, requestsPerCaller, ratio, slack = 10, 20, 0.2, 4
 	const requests = callers * requestsPerCaller
 	s := newSite(t, 0)
@@ -160,6 +175,7 @@
 // TestSiteRetriesAreCounted guards against retries that are missing from cassiabridge_repeats_total: while all
 // decode engines refuse, the counter must not be lower than the number of retries that arrive at the engines.
 func TestSiteRetriesAreCounted(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	for _, id := range []string{"d-0", "d-1"} {
 		s.replicas[id].SetFaults(standin.ReplicaFaults{Refuse: true})
@@ -197,6 +213,7 @@
 }
 
 func TestSiteRefusedRequestsHaveNotRun(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	v := s.vms[0]
 	t.Run("one upstream refuses", func(t *testing.T) {
@@ -248,6 +265,7 @@
 }
 
 func TestSiteAuthentication(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2)
 	scenarios := []struct {
 		name   string
@@ -279,6 +297,7 @@
 }
 
 func TestSiteAccountRateLimit(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3)
 	const rate, burst, cost = 4000.0, 2000.0, 200.0
 	s.configure(func(c *standin.Configuration) { c.Tenants[0]["ratePerS"], c.Tenants[0]["burst"] = rate, burst })
@@ -309,6 +328,7 @@
 }
 
 func TestSiteCallerDisconnects(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	for _, p := range []string{"d-0", "d-1"} {
 		s.addReplica(replicaSpec{standin.ReplicaConfig{ID: p + "-slow", Stage: "decode", WorkDuration: 100 * time.Millisecond, Events: 100}, engineService})
@@ -331,6 +351,7 @@
 }
 
 func TestSiteTimeouts(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	s.replicas["s-0"].SetFaults(standin.ReplicaFaults{Silent: true})
 	s.replicas["s-1"].SetFaults(standin.ReplicaFaults{Silent: true})
@@ -358,6 +379,7 @@
 }
 
 func TestSiteBadInput(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	valid := "GET /status/a HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + schoolsKey + "\r\n"
 	scenarios := []struct{ name, bytes, status string }{
--- a/integration/tokens_test.go
+++ b/integration/tokens_test.go
@@ -61,6 +61,7 @@
 // The calls of an account through all VMs together must stay within its rate, also while VMs that lend tokens
 // fail or are partitioned.
 func TestAccountRateLimit(t *testing.T) {
+	t.Parallel()
 	scenarios := []struct {
 		name        string
 		injectFault func(c *cluster)
@@ -101,6 +102,7 @@
 
 // A VM must borrow the tokens of idle VMs, so that an account can use its whole rate through one VM.
 func TestBorrowsTokensOfIdleVMs(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, clusterConfig{vms: 3, extraResources: []resource.Document{smallAccount}})
 	key := c.newKey("k1", "small")
 	// 40 callers that pause for 500 ms use less than 80 tokens a second, all through one VM. Without loans this
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -302,6 +302,7 @@
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
 				limits := drawLimits(t)
 				s := newSimulation(limits)
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -32,6 +32,8 @@
 	Refuse bool
 	// Fail runs the request and answers 500.
 	Fail bool
+	// FailResumed runs a request that resumes a stream and answers 500.
+	FailResumed bool
 	// LoseAnswer runs the request and closes the connection without an answer.
 	LoseAnswer bool
 	// CutAfter is an event number. A stream breaks in the middle of its first event with a higher number. 0 means never.
@@ -238,7 +240,7 @@
 // ServiceAnswer returns the body of a plain service's answer to an attempt.
 func ServiceAnswer(attempt string) string { return "answer to " + attempt }
 
-// StreamFailure is the body of the 500 response of a decode engine with the Fail fault.
+// StreamFailure is the body of the 500 response of a decode engine with the Fail or FailResumed fault.
 const StreamFailure = "the engine failed"
 
 // StreamEvent returns the server-sent event with number n of the stream for an attempt.
@@ -248,14 +250,14 @@
 
 func (p *Replica) stream(w http.ResponseWriter, r *http.Request, faults ReplicaFaults) bool {
 	w.Header().Set(HeaderSignature, "by "+p.cfg.ID)
-	if faults.Fail {
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if faults.Fail || faults.FailResumed && first > 0 {
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, StreamFailure)
 		return true
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
-	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := first + 1; n <= p.cfg.Events; n++ {
 		if !sleepWhileConnected(r, p.cfg.WorkDuration) {
 			return false
