Beacons of a large fleet: in batches, paced; VMs found by beacon, not by waiting reads

Change: a beacon goes out in one sendmmsg; a changing VM sends at most 400 datagrams a second (10 ms between beacons for up to 4 peers, 15 ms for 6, 205 ms for 82); peers are checked every 50 ms or when one appears, leaves or is heard again; a VM reads the list of VMs after writing its own record and then once a minute, and a beacon from an unknown VM registers its sender.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -18,8 +18,8 @@
 const (
 	// declarationsPollTimeout is the long-poll timeout for a new version of the declarations.
 	declarationsPollTimeout = 10 * time.Second
-	// vmsPollTimeout is the long-poll timeout for changes to the list of VMs.
-	vmsPollTimeout = 20 * time.Second
+	// vmsReadInterval is the interval between two reads of the list of VMs. Beacons announce new VMs in between.
+	vmsReadInterval = 60 * time.Second
 	// announceRetryDelay is the delay after which a VM retries a failed write of its own record.
 	announceRetryDelay = 500 * time.Millisecond
 	// announceTimeout is the timeout of a write of a VM's own record.
@@ -51,11 +51,13 @@
 	// declarationsRefresh and replicasRefresh trigger an immediate read of the declarations and the list of replicas.
 	declarationsRefresh chan struct{}
 	replicasRefresh     chan struct{}
+	// vmsRefresh triggers a read of the list of VMs.
+	vmsRefresh chan struct{}
 }
 
 func newStoreSyncer(cfg settings.Settings, store *platform.Store, log *zap.Logger) *storeSyncer {
 	return &storeSyncer{store: store, log: log, vm: cfg.VM, ownRecord: gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone},
-		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1)}
+		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1), vmsRefresh: make(chan struct{}, 1)}
 }
 
 // refreshDeclarations triggers an immediate read of the declarations.
@@ -79,7 +81,7 @@
 		if b.Snapshot && !s.containsOwnRecord(b) {
 			notify(s.announceNeeded)
 		}
-	}, follow.WithWait(vmsPollTimeout))
+	}, follow.WithInterval(vmsReadInterval), follow.WithWakeups(s.vmsRefresh))
 	copies := newCopies(s.store)
 	stopBackground := runInBackground(declarations.Run, replicas.Run, vms.Run, s.announce,
 		func(ctx context.Context) { control.RestoreCopy(ctx, copies) }, func(ctx context.Context) { control.MaintainCopy(ctx, copies) })
@@ -133,8 +135,9 @@
 	}
 }
 
-// announce writes this VM's record whenever announceNeeded is signaled. A VM that restarts with an unchanged record does
-// not write it again, so that the other VMs are not notified without need.
+// announce writes this VM's record whenever announceNeeded is signaled, and then has the list of VMs read again. So of
+// any two VMs that start together at least one finds the other's record, and the other hears of it from its beacons.
+// Waiting reads of the list would answer every VM whenever a VM starts.
 func (s *storeSyncer) announce(ctx context.Context) {
 	for {
 		select {
@@ -152,6 +155,7 @@
 		cancel()
 		if err == nil {
 			s.log.Info("vm-announced", zap.String("Address", s.ownRecord.Address))
+			notify(s.vmsRefresh)
 			continue
 		}
 		s.log.Warn("vm-not-announced", zap.Error(err))
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -56,7 +56,10 @@
 	lastID            uint64
 	startedAt         time.Time
 	refreshedAt       time.Time
-	beacon            beaconState
+	beacon            beaconSchedule
+	// peersChanged is whether a peer has appeared, left or been heard again since updatePeers ran at peersUpdatedAt.
+	peersChanged   bool
+	peersUpdatedAt time.Time
 	// advertiseLevelsUntil is the time until which beacons include account levels. A VM that has just started adopts them.
 	advertiseLevelsUntil time.Time
 }
@@ -112,7 +115,7 @@
 		now := c.now()
 		c.deliverDecisions(now)
 		c.expireDoubtfulReplicas(now)
-		c.updatePeers(now)
+		c.updatePeersIfDue(now)
 		c.readListIfDue(now)
 		c.sendBeaconIfDue(now)
 		timer.Reset(c.nextWake(now))
@@ -121,7 +124,7 @@
 
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
-	wake := min(c.beacon.dueIn(now), c.listReadDueIn(now))
+	wake := min(c.beacon.dueIn(now, len(c.peers)), c.listReadDueIn(now))
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
 	}
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -31,6 +31,9 @@
 	// nextOffset is the offset after the last record read, and changedOffset the offset after the last change seen.
 	nextOffset    uint64
 	changedOffset uint64
+	// rank is the number of VMs that take precedence over this one, and peerReadAt when a peer last read the list.
+	rank       int
+	peerReadAt time.Time
 	// stale is whether a peer has seen a change that this VM has not read.
 	stale bool
 }
@@ -46,18 +49,20 @@
 	}
 }
 
-// dueIn returns the time until the next read, which is due if it is 0 or less. rank is the number of VMs that take
-// precedence, and peerReadAt is when a peer last read the list.
-func (l *listReadSchedule) dueIn(now time.Time, rank int, peerReadAt time.Time) time.Duration {
+// recordPeerRead records that a peer read the list at the given time.
+func (l *listReadSchedule) recordPeerRead(at time.Time) { l.peerReadAt = later(l.peerReadAt, at) }
+
+// dueIn returns the time until the next read, which is due if it is 0 or less.
+func (l *listReadSchedule) dueIn(now time.Time) time.Duration {
 	last := later(l.readAt, l.requestedAt)
 	if l.stale {
 		return minChangeReadInterval - now.Sub(last)
 	}
-	if rank == 0 {
+	if l.rank == 0 {
 		return listReadInterval - now.Sub(last)
 	}
-	wait := listTakeoverAfter + min(time.Duration(rank)*takeoverStagger, maxTakeoverStagger)
-	return min(wait-now.Sub(later(last, peerReadAt)), MaxListReadInterval-now.Sub(last))
+	wait := listTakeoverAfter + min(time.Duration(l.rank)*takeoverStagger, maxTakeoverStagger)
+	return min(wait-now.Sub(later(last, l.peerReadAt)), MaxListReadInterval-now.Sub(last))
 }
 
 func later(a, b time.Time) time.Time {
@@ -77,23 +82,12 @@
 	c.beacon.dirty = true
 }
 
-// listReadDueIn returns the time until this VM should read the replica list, given what its peers have read.
+// listReadDueIn returns the time until this VM should read the replica list.
 func (c *Controller) listReadDueIn(now time.Time) time.Duration {
 	if c.readList == nil {
 		return MaxListReadInterval
 	}
-	rank := 0
-	var peerReadAt time.Time
-	for name, p := range c.peers {
-		if p.silent || p.lastBeaconAt.IsZero() || p.leaving {
-			continue
-		}
-		if name < c.self.VM {
-			rank++
-		}
-		peerReadAt = later(peerReadAt, p.listReadAt)
-	}
-	return c.listSchedule.dueIn(now, rank, peerReadAt)
+	return c.listSchedule.dueIn(now)
 }
 
 // readListIfDue triggers a read of the replica list if one is due.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,12 +13,6 @@
 )
 
 const (
-	// beaconInterval is the interval between beacons while nothing changes.
-	beaconInterval = 400 * time.Millisecond
-	// minBeaconInterval is the minimum time between two beacons.
-	minBeaconInterval = 10 * time.Millisecond
-	// minSpentBeaconInterval is the minimum time between two beacons if only token usage has changed.
-	minSpentBeaconInterval = 100 * time.Millisecond
 	// minRefreshInterval is the minimum time between two reads of the declarations that beacons of peers trigger.
 	minRefreshInterval = 500 * time.Millisecond
 	// silenceTimeout is the time without a beacon after which a peer counts as silent: its loads are dropped, and its even
@@ -31,6 +26,8 @@
 	// peerExpiry is the time without a beacon after which a peer no longer counts as a member. Network partitions last
 	// some seconds and must not expire the peers behind them.
 	peerExpiry = 60 * time.Second
+	// peerCheckInterval is how often the peers are checked for silence.
+	peerCheckInterval = 50 * time.Millisecond
 )
 
 type peerAddress = *net.UDPAddr
@@ -51,28 +48,6 @@
 	lastBeaconAt time.Time
 	leaving      bool
 	silent       bool
-	// listReadAt is when the peer last read the replica list.
-	listReadAt time.Time
-}
-
-// beaconState tracks the beacons that were sent and when the next one is due.
-type beaconState struct {
-	sequence uint64
-	sentAt   time.Time
-	// dirty is whether anything but token usage has changed since sentAt, and tokensSpent whether tokens were spent.
-	dirty       bool
-	tokensSpent bool
-}
-
-func (b *beaconState) dueIn(now time.Time) time.Duration {
-	since := now.Sub(b.sentAt)
-	switch {
-	case b.dirty:
-		return minBeaconInterval - since
-	case b.tokensSpent:
-		return minSpentBeaconInterval - since
-	}
-	return beaconInterval - since
 }
 
 // ApplyVMRecords applies a batch of VM records. Invalid records are logged and skipped.
@@ -110,27 +85,33 @@
 	c.registerPeer(name, addr)
 }
 
-func (c *Controller) registerPeer(name string, addr peerAddress) {
+func (c *Controller) registerPeer(name string, addr peerAddress) *peerState {
 	p := c.peers[name]
 	if p == nil {
 		p = &peerState{}
 		c.peers[name] = p
 	}
 	p.address, p.listedAt = addr, c.now()
+	c.peersChanged = true
 	c.log.Info("vm-listed", zap.String("Peer", name), zap.Stringer("Address", addr))
 	c.beacon.dirty = true
+	return p
 }
 
-// HandleBeacon applies a beacon of a peer. Beacons of unknown VMs and outdated beacons are ignored.
-func (c *Controller) HandleBeacon(b peer.Beacon) {
-	c.post(func() { c.handleBeacon(b) })
+// HandleBeacon applies a beacon of a peer. Outdated beacons are ignored. A beacon of an unknown VM, or of a new process
+// of a known one, registers its sender: a VM reads the list of VMs when it starts, and seldom afterwards.
+func (c *Controller) HandleBeacon(b peer.Beacon, from netip.AddrPort) {
+	c.post(func() { c.handleBeacon(b, from) })
 }
 
-func (c *Controller) handleBeacon(b peer.Beacon) {
-	p := c.peers[b.VM]
-	if b.VM == c.self.VM || p == nil {
+func (c *Controller) handleBeacon(b peer.Beacon, from netip.AddrPort) {
+	if b.VM == c.self.VM {
 		return
 	}
+	p := c.peers[b.VM]
+	if p == nil || p.incarnation != b.Incarnation && !sameAddress(p.address, from) {
+		p = c.registerPeer(b.VM, net.UDPAddrFromAddrPort(from))
+	}
 	now := c.now()
 	instance := b.VM + "/" + b.Incarnation
 	switch {
@@ -150,6 +131,7 @@
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.lastBeaconAt)))
 	}
 	afterSilence := p.silent && p.incarnation == b.Incarnation
+	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.lastBeaconAt.IsZero()
 	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving = b.Incarnation, b.Sequence, now, false, b.Leaving
 	c.quotas.ApplyPeerSpent(now, instance, b.SpentTokens, afterSilence)
 	if b.BucketLevels != nil && b.Uptime-now.Sub(c.startedAt) > sameStartTolerance {
@@ -162,13 +144,17 @@
 	for _, id := range b.ReplacedReplicas {
 		c.scheduler.MarkReplaced(id)
 	}
-	if b.ListAge >= 0 {
-		p.listReadAt = now.Add(-b.ListAge)
+	if b.ListAge >= 0 && !b.Leaving {
+		c.listSchedule.recordPeerRead(now.Add(-b.ListAge))
 	}
 	c.listSchedule.recordPeerChange(b.ListOffset)
 	c.refreshIfNewer(now, b.Version)
 }
 
+func sameAddress(a peerAddress, b netip.AddrPort) bool {
+	return a.Port == int(b.Port()) && a.IP.Equal(b.Addr().AsSlice())
+}
+
 // refreshIfNewer triggers a read of the declarations if a peer has a newer version. Triggers are rate limited, so that
 // beacons do not cause a storm of reads while the store does not respond.
 func (c *Controller) refreshIfNewer(now time.Time, version uint64) {
@@ -180,22 +166,30 @@
 	c.refreshDeclarations()
 }
 
+// updatePeersIfDue updates what follows from the state of all peers. Each beacon is an event, so doing this for each
+// event would take a time that grows with the square of the number of VMs.
+func (c *Controller) updatePeersIfDue(now time.Time) {
+	if !c.peersChanged && now.Sub(c.peersUpdatedAt) < peerCheckInterval {
+		return
+	}
+	c.peersChanged, c.peersUpdatedAt = false, now
+	c.updatePeers(now)
+}
+
 // updatePeers marks peers as silent that have stopped sending beacons, and updates the number of members among which
-// the quotas and the retry budget are divided.
+// the quotas and the retry budget are divided, and this VM's rank among those that read the replica list.
 func (c *Controller) updatePeers(now time.Time) {
-	count, silent := 0, 0
+	count, silent, rank := 0, 0, 0
 	for name, p := range c.peers {
 		since := now.Sub(p.lastBeaconAt)
 		if p.lastBeaconAt.IsZero() {
 			since = now.Sub(p.listedAt) + silenceTimeout
 		}
 		if since > silenceTimeout && !p.silent {
-			p.silent = true
-			c.scheduler.SetPeerLoads(name, nil)
-			c.scheduler.SetPeerQueuedTokens(name, nil)
-			if !p.lastBeaconAt.IsZero() {
-				c.log.Warn("vm-silent", zap.String("Peer", name), zap.Duration("Silence", since), zap.Bool("Leaving", p.leaving))
-			}
+			c.markSilent(name, p, since)
+		}
+		if p.takesPrecedence(name, c.self.VM) {
+			rank++
 		}
 		if since > peerExpiry || p.silent && p.leaving {
 			continue
@@ -205,12 +199,28 @@
 			silent++
 		}
 	}
+	c.listSchedule.rank = rank
 	c.quotas.SetPeerCounts(now, count, silent)
 	c.budget.setVMCount(count + 1)
 }
 
+// takesPrecedence reports whether the peer with this name comes before the VM self when one VM is to act for all.
+func (p *peerState) takesPrecedence(name, self string) bool {
+	return name < self && !p.silent && !p.lastBeaconAt.IsZero() && !p.leaving
+}
+
+// markSilent drops the loads of a peer from which no beacon has arrived for the duration since.
+func (c *Controller) markSilent(name string, p *peerState, since time.Duration) {
+	p.silent = true
+	c.scheduler.SetPeerLoads(name, nil)
+	c.scheduler.SetPeerQueuedTokens(name, nil)
+	if !p.lastBeaconAt.IsZero() {
+		c.log.Warn("vm-silent", zap.String("Peer", name), zap.Duration("Silence", since), zap.Bool("Leaving", p.leaving))
+	}
+}
+
 func (c *Controller) sendBeaconIfDue(now time.Time) {
-	if c.beacon.dueIn(now) > 0 {
+	if c.beacon.dueIn(now, len(c.peers)) > 0 {
 		return
 	}
 	var to []peerAddress
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/net/ipv4"
 
 	"github.com/cassiabridge/cassiabridge/placement"
 )
@@ -105,11 +107,13 @@
 // BeaconSocket sends and receives beacons over UDP.
 type BeaconSocket struct {
 	conn *net.UDPConn
+	// batch sends many datagrams in one system call.
+	batch *ipv4.PacketConn
 }
 
-// ListenBeacons listens on addr and calls received for each beacon until the returned function is called. It calls
-// rejected with the error for each datagram that cannot be received or decoded.
-func ListenBeacons(addr string, received func(Beacon), rejected func(error)) (*BeaconSocket, func(), error) {
+// ListenBeacons listens on addr and calls received with each beacon and its sender's address until the returned function
+// is called. It calls rejected with the error for each datagram that cannot be received or decoded.
+func ListenBeacons(addr string, received func(Beacon, netip.AddrPort), rejected func(error)) (*BeaconSocket, func(), error) {
 	local, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
 		return nil, nil, &Error{Op: "listen for beacons", Kind: ErrFailed, Err: err}
@@ -118,15 +122,15 @@
 	if err != nil {
 		return nil, nil, &Error{Op: "listen for beacons", Kind: ErrFailed, Err: err}
 	}
-	b := &BeaconSocket{conn: conn}
+	b := &BeaconSocket{conn: conn, batch: ipv4.NewPacketConn(conn)}
 	go b.receive(received, rejected)
 	return b, func() { _ = conn.Close() }, nil
 }
 
-func (b *BeaconSocket) receive(received func(Beacon), rejected func(error)) {
+func (b *BeaconSocket) receive(received func(Beacon, netip.AddrPort), rejected func(error)) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := b.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -139,7 +143,7 @@
 			rejected(err)
 			continue
 		}
-		received(beacon)
+		received(beacon, from)
 	}
 }
 
@@ -149,11 +153,20 @@
 	if err != nil {
 		return &Error{Op: "encode beacon", Kind: ErrFailed, Err: err}
 	}
+	buffers := [][]byte{data}
+	messages := make([]ipv4.Message, len(to))
+	for i, addr := range to {
+		messages[i] = ipv4.Message{Buffers: buffers, Addr: addr}
+	}
 	var lastErr error
-	for _, addr := range to {
-		if _, err := b.conn.WriteToUDP(data, addr); err != nil {
-			lastErr = &Error{Op: "send beacon to " + addr.String(), Kind: ErrUnreachable, Err: err}
+	for len(messages) > 0 {
+		n, err := b.batch.WriteBatch(messages, 0)
+		if err != nil {
+			// The first message of the batch failed; the others are still sent.
+			lastErr = &Error{Op: "send beacon to " + messages[0].Addr.String(), Kind: ErrUnreachable, Err: err}
+			n = 1
 		}
+		messages = messages[n:]
 	}
 	return lastErr
 }
