--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -33,7 +33,13 @@
 			failed <- &Error{Op: "serve " + addr, Kind: ErrUnreadable, Err: err}
 		}
 	}()
-	return server.Shutdown, nil
+	return func(ctx context.Context) error {
+		err := server.Shutdown(ctx)
+		if err != nil {
+			s.logCutRequests()
+		}
+		return err
+	}, nil
 }
 
 // connLimits returns the declared limits for callers' connections, with defaults for those that are not declared.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -41,6 +41,7 @@
 	metrics   *metrics.Gateway
 	random    func() float64
 	bodies    bodyMemory
+	inFlight  inFlight
 }
 
 // NewServer returns a Server that takes placement and admission decisions from control and sends requests through
@@ -84,6 +85,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, httpRequest *http.Request) {
 	r := &request{http: httpRequest, arrivedAt: s.control.now(), info: s.protocol.ReadRequestInfo(httpRequest.Header), target: requestTarget(httpRequest)}
 	r.w = &responseWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
+	defer s.inFlight.add(r)()
 	if s.control.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/integration/site_lifecycle_test.go
+++ b/integration/site_lifecycle_test.go
@@ -263,6 +263,29 @@
 	assert.NotEmpty(t, s.logLines(v, "Event=stopped"))
 }
 
+// A stream that lasts longer than the grace period is cut. Its caller sees that it is incomplete, and the log names it.
+func TestSiteStopNamesCutRequests(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	s.addReplica(replicaSpec{standin.ReplicaConfig{ID: "d-slow", Stage: "decode", WorkDuration: 500 * time.Millisecond, Events: 40}, engineService})
+	s.store.PutReplica("d-0", nil)
+	s.store.PutReplica("d-1", nil)
+	time.Sleep(maxSitePropagationDelay)
+	s.graceMillis = 3000
+	v := s.newVM("vm-1")
+	s.start(v)
+	s.awaitServing(v)
+	answered := make(chan siteResponse, 1)
+	go func() { answered <- s.send(v, streamRequest("/review/a")) }()
+	s.eventually(2*time.Second, "the stream has started", func() bool { return len(s.logLines(v, "Event=placed")) == 1 })
+	require.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
+	a := <-answered
+	assert.False(t, a.complete)
+	assert.Error(t, v.cmd.Wait(), "the exit code reports that the drain was incomplete")
+	require.Len(t, s.logLines(v, "Event=request-cut", a.attempt), 1)
+	assert.NotEmpty(t, s.logLines(v, "Event=drain-incomplete"))
+}
+
 func TestSiteReloadsSettingsOnSIGHUP(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 1)
--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -41,6 +41,8 @@
 	attempts  atomic.Int64
 	// retrySlack is the RetrySlack setting of VMs created by newVM.
 	retrySlack int
+	// graceMillis is the Grace setting of VMs created by newVM, in milliseconds.
+	graceMillis int
 }
 
 // testReplica is a stand-in replica with its address and its entry in the store.
@@ -100,7 +102,7 @@
 // newSite starts the stand-ins and the given number of VMs, and waits until every VM serves requests.
 func newSite(t testing.TB, vms int) *site {
 	t.Helper()
-	s := &site{t: t, store: standin.NewStore(), replicas: map[string]*testReplica{}, config: defaultConfiguration(), retrySlack: 400}
+	s := &site{t: t, store: standin.NewStore(), replicas: map[string]*testReplica{}, config: defaultConfiguration(), retrySlack: 400, graceMillis: 6000}
 	s.storeAddr = serve(t, s.store.Handler())
 	for _, spec := range defaultReplicas() {
 		s.addReplica(spec)
@@ -167,7 +169,7 @@
 	return map[string]any{
 		"VM": name, "AvailabilityZone": "zone-a",
 		"Listen":  map[string]any{"Callers": v.callers, "Readiness": v.readiness, "Metrics": v.metrics, "Peers": freeAddr(s.t)},
-		"Gateway": map[string]any{"Store": s.storeAddr, "RetrySlack": s.retrySlack, "Grace": 6000, "Memory": 134},
+		"Gateway": map[string]any{"Store": s.storeAddr, "RetrySlack": s.retrySlack, "Grace": s.graceMillis, "Memory": 134},
 		"Log":     log,
 	}
 }
