Choose engines from a random sample at a large fleet

Within 0.3 s 36 placements of all VMs went to 8 of 58 decode engines, 12 of them to one: each VM chose the engine that looked emptiest until it heard of the others, and a difference of one request costs more than the jitter.

Ruled out: lapsed results (the second engine took 104 of them with the same handle), prefill rates (the choice of prefill engines was spread), reports more often (the simulation wastes as much with 20 ms as with 200 ms once most engines are full).

Change: above 8 VMs each considers a random sample, the smaller the more VMs (4 at least), of the engines with room, and takes the cheapest pair of it.

Test first: the fleet simulation with 32 and 58 engines and answers of 400 tokens shows it: 233 of 2327 requests met a full engine (bound: 1 in 50); with the sample 0, and 6 of 2258 while a tenth of the engines is dark.

--- a/placement/engine.go
+++ b/placement/engine.go
@@ -239,16 +239,15 @@
 	return min(req.reservedTokens(), int(usableMemoryFraction*float64(s.engineSpecs[req.Pool].MemoryTokens)))
 }
 
-// chooseEngines selects the pair of prefill and decode engines with the lowest cost. The cost is the sum of the
-// prefill time, a penalty for a full decode engine and a penalty if the two are in different availability
-// zones. It returns nil if no pair has capacity.
+// chooseEngines selects the pair of prefill and decode engines with the lowest cost among a sample of those with
+// capacity. The cost is the sum of the prefill time, a penalty for a full decode engine and a penalty if the two are in
+// different availability zones. It returns nil if no pair has capacity.
 func (s *Scheduler) chooseEngines(now time.Time, req *Request, prefills, decodes []*replica) (bestPrefill, bestDecode *replica) {
+	prefills = s.sample(filter(prefills, func(p *replica) bool { return !now.Before(p.fullUntil) }))
+	decodes = s.sample(filter(decodes, func(d *replica) bool { return s.hasRoom(now, req, d) }))
 	// Only the cheapest prefill engine of each zone can be part of the best pair.
 	cheapest := map[string]engineCost{}
 	for _, p := range prefills {
-		if now.Before(p.fullUntil) {
-			continue
-		}
 		cost := prefillTime(p, req.PromptTokens) + s.jitter()
 		if best, found := cheapest[p.Zone]; !found || cost < best.cost {
 			cheapest[p.Zone] = engineCost{p, cost}
@@ -256,9 +255,6 @@
 	}
 	var bestCost time.Duration
 	for _, d := range decodes {
-		if !s.hasRoom(now, req, d) {
-			continue
-		}
 		decodeCost := s.fullnessCost(d) + s.jitter()
 		for _, zone := range slices.Sorted(maps.Keys(cheapest)) {
 			cost := decodeCost + cheapest[zone].cost
--- a/placement/fleet_simulation_test.go
+++ b/placement/fleet_simulation_test.go
@@ -16,14 +16,15 @@
 // others' from reports that are old when they arrive. Decode memory binds, not slots.
 const (
 	fleetVMs              = 83
-	fleetEngines          = 45
-	fleetRequestRate      = 220.0
+	fleetPrefillEngines   = 32
+	fleetDecodeEngines    = 58
+	fleetRequestRate      = 95.0
 	fleetReportInterval   = 200 * time.Millisecond
 	fleetMemoryTokens     = 28_948
 	fleetPromptTokens     = 3_200.0
-	fleetOutputTokens     = 69
+	fleetOutputTokens     = 400.0
 	fleetPrefillRate      = 33_333.0
-	fleetTokenInterval    = 8 * time.Millisecond
+	fleetTokenInterval    = 6 * time.Millisecond
 	fleetResultRetention  = 500 * time.Millisecond
 	fleetSimulatedSeconds = 12
 	// fleetDialTimeout is how long it takes a VM to find that an engine is unreachable.
@@ -37,6 +38,7 @@
 	id           uint64
 	scheduler    *Scheduler
 	prompt       int
+	output       int
 	dueAt        time.Time
 	prefilledAt  time.Time
 	prefill      string
@@ -51,6 +53,8 @@
 	wastedTokens, prefilledTokens    int
 	// unreachable counts the requests that were sent to an unreachable engine.
 	unreachable int
+	// full counts the requests that a decode engine refused because its memory was full.
+	full int
 }
 
 // fleetSimulation runs many schedulers on the same engines.
@@ -74,10 +78,13 @@
 	for n := range fleetVMs {
 		s := NewScheduler([]string{"zone-a", "zone-b"}[n%2], f.random.Float64)
 		s.SetPools([]routing.Pool{{Name: enginePool, Engine: &routing.EngineSpec{MaxRunning: 32, MemoryTokens: fleetMemoryTokens, Retain: fleetResultRetention}}})
-		for i := range fleetEngines {
+		for i := range fleetPrefillEngines {
 			s.SetReplica(engineReplica(fmt.Sprintf("p%02d", i), StagePrefill, i))
+		}
+		for i := range fleetDecodeEngines {
 			s.SetReplica(engineReplica(fmt.Sprintf("d%02d", i), StageDecode, i))
 		}
+		s.SetVMCount(fleetVMs)
 		f.schedulers = append(f.schedulers, s)
 	}
 	for i := range dark {
@@ -125,15 +132,20 @@
 		f.nextID++
 		f.result.submitted++
 		r := &fleetRequest{id: f.nextID, scheduler: f.schedulers[f.random.IntN(fleetVMs)], dueAt: now.Add(firstEventTarget),
-			prompt: int(fleetPromptTokens * math.Exp(lengthSigma*f.random.NormFloat64()-lengthSigma*lengthSigma/2))}
+			prompt: f.length(fleetPromptTokens), output: f.length(fleetOutputTokens)}
 		f.queue(now, r)
 	}
 }
 
+// length draws the length of a prompt or an answer.
+func (f *fleetSimulation) length(mean float64) int {
+	return int(mean * math.Exp(lengthSigma*f.random.NormFloat64()-lengthSigma*lengthSigma/2))
+}
+
 // queue submits a request to its VM's scheduler.
 func (f *fleetSimulation) queue(now time.Time, r *fleetRequest, avoid ...string) {
 	f.waiting[r.id] = r
-	r.scheduler.Submit(Request{ID: r.id, Pool: enginePool, PromptTokens: r.prompt, OutputTokens: fleetOutputTokens,
+	r.scheduler.Submit(Request{ID: r.id, Pool: enginePool, PromptTokens: r.prompt, OutputTokens: r.output,
 		ArrivedAt: now, FirstEventDueAt: r.dueAt, ExpiresAt: r.dueAt.Add(13 * time.Second), Avoid: avoid})
 }
 
@@ -170,7 +182,7 @@
 			continue
 		}
 		if r.prefilled && !now.Before(r.decodeEndsAt) {
-			f.memory[r.decode] -= r.prompt + fleetOutputTokens
+			f.memory[r.decode] -= r.prompt + r.output
 			r.scheduler.Remove(now, r.id)
 			continue
 		}
@@ -198,9 +210,10 @@
 	r.scheduler.FinishPrefill(now, r.id, true)
 	r.prefilled = true
 	f.result.prefilledTokens += r.prompt
-	needed := r.prompt + fleetOutputTokens
+	needed := r.prompt + r.output
 	for !f.reaches(now, r.decode) || f.memory[r.decode]+needed > fleetMemoryTokens {
 		if f.reaches(now, r.decode) {
+			f.result.full++
 			r.scheduler.MarkFull(now, r.decode)
 			// The refusal and the next request take a round trip each.
 			now = now.Add(5 * time.Millisecond)
@@ -219,7 +232,7 @@
 		r.decode = next.ID
 	}
 	f.memory[r.decode] += needed
-	r.decodeEndsAt = now.Add(fleetOutputTokens * fleetTokenInterval)
+	r.decodeEndsAt = now.Add(time.Duration(r.output) * fleetTokenInterval)
 	if now.Add(fleetTokenInterval).After(r.dueAt) {
 		f.result.late++
 	} else {
@@ -240,6 +253,7 @@
 		total.wastedTokens += result.wastedTokens
 		total.prefilledTokens += result.prefilledTokens
 		total.unreachable += result.unreachable
+		total.full += result.full
 	}
 	return total
 }
@@ -251,6 +265,7 @@
 		t.Parallel()
 		total := simulateFleet(0)
 		t.Logf("%+v", total)
+		assert.Less(t, total.full*50, total.submitted, "fewer than 1 in 50 requests meet a full decode engine")
 		assert.Greater(t, total.inTime*100, total.submitted*97, "requests served in time")
 		assert.Less(t, total.wastedTokens*100, total.prefilledTokens, "prompts read for nothing must stay below 1 in 100")
 	})
@@ -258,6 +273,7 @@
 		t.Parallel()
 		total := simulateFleet(5)
 		t.Logf("%+v", total)
+		assert.Less(t, total.full*50, total.submitted, "fewer than 1 in 50 requests meet a full decode engine")
 		assert.Greater(t, total.inTime*100, total.submitted*97, "requests served in time")
 		assert.Less(t, total.wastedTokens*100, total.prefilledTokens, "prompts read for nothing must stay below 1 in 100")
 	})
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -25,6 +25,8 @@
 	waiting        []*Request
 	requests       map[uint64]*Request
 	random         func() float64
+	// vmCount is the number of VMs that choose among the same engines.
+	vmCount int
 	// peerLoads holds the loads that each peer last reported, by replica ID.
 	peerLoads map[string]map[string]Load
 	// peerUnreachable holds the IDs of the replicas that each peer reports as unreachable.
