Log the shared parts of a prompt, and whether a broken run's replica has ended

Ruled out: taking every broken connection for an end; answers get lost and connections reset while replicas live. Change: placed and run-broken name the parts (all but the last, 16 at most); after a run broke off, one dial, shared by all requests of that replica, finds out whether connections are refused. No decision depends on it yet.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 	"unicode"
 )
@@ -215,6 +216,20 @@
 	return resp, nil
 }
 
+// Refuses reports whether connections to addr are refused, which means that the process of the upstream has ended. It
+// returns false if no answer arrives in time.
+func (c *Client) Refuses(ctx context.Context, addr string) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, c.dialTimeout)
+	defer cancel()
+	c.onDial(addr)
+	raw, err := c.dial(dialCtx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	raw.Close()
+	return false
+}
+
 // cause returns the cancellation cause of ctx if ctx is done, and err otherwise.
 func cause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -107,7 +107,7 @@
 	s.log.Info("placed", zap.String("Request", r.info.Attempt), zap.Stringer("Decision", decision.Kind), zap.String("Prefill", decision.Prefill.ID),
 		zap.String("Decode", decision.Decode.ID), zap.Int("Prompt", r.promptTokens()), zap.Int("Output", r.expectedOutput()),
 		zap.Int("MaxOutput", r.info.MaxOutputTokens), zap.Int("Free", decision.FreeTokens), zap.Int("Waiting", decision.QueueLength), zap.Duration("Waited", waited),
-		zap.Duration("Wait", decision.EstimatedWait))
+		zap.Duration("Wait", decision.EstimatedWait), zap.Strings("Parts", r.info.SharedParts))
 	if decision.Kind != placement.Start {
 		return r.placementError(decision), attempt.End
 	}
@@ -213,7 +213,11 @@
 		return g.discardResponse(ctx, from, result.resp, retry)
 	}
 	if r.route.Repeat != routing.Resumable || failed {
-		return s.relayResponse(r, from, result.resp), attempt.End
+		reqErr := s.relayResponse(r, from, result.resp)
+		if isBroken(reqErr) && ctx.Err() == nil {
+			go s.checkEnded(r, from)
+		}
+		return reqErr, attempt.End
 	}
 	defer result.resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID))
@@ -231,6 +235,9 @@
 	}
 	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", lastID), zap.Error(err))
 	s.control.recordFailure(from, false)
+	if ctx.Err() == nil {
+		s.checkEnded(r, from)
+	}
 	r.avoid = append(r.avoid, from.ID)
 	return s.forwardError(ctx, r, err), r.state.Next(attempt.Broken)
 }
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -20,6 +20,9 @@
 	// caller's estimate of the output length in tokens.
 	Tokens     string
 	OutputHint string
+	// PromptParts holds the parts of the prompt in order, as comma-separated ID:TOKENS entries. Requests share parts,
+	// except for the last one, which belongs to the request or to its session.
+	PromptParts string
 	// LastEventID holds the ID of the last stream event that the caller has received.
 	LastEventID string
 	// Account, Upstream, Stage and Source are set by a VM in requests to upstreams. PrefillStage is the value of Stage
@@ -38,6 +41,9 @@
 const (
 	headerAuthorization = "Authorization"
 	bearerPrefix        = "Bearer "
+	// maxSharedParts and maxPartIDBytes bound what is kept of the parts that a caller states.
+	maxSharedParts = 16
+	maxPartIDBytes = 64
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -64,9 +70,23 @@
 		info.MaxOutputTokens = parseTokenCount(output)
 	}
 	info.OutputHint = parseTokenCount(h.Get(n.OutputHint))
+	info.SharedParts = parseSharedParts(h.Get(n.PromptParts))
 	return info
 }
 
+// parseSharedParts returns the IDs of the parts of a prompt that other requests may share: all but the last one, up to
+// maxSharedParts.
+func parseSharedParts(text string) []string {
+	var ids []string
+	for entry, rest, more := strings.Cut(text, ","); more && len(ids) < maxSharedParts; entry, rest, more = strings.Cut(rest, ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		if id != "" && len(id) <= maxPartIDBytes {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // parseTokenCount parses a number of tokens. It returns 0, which means not stated, if the text is invalid or negative.
 func parseTokenCount(text string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(text))
--- a/gateway/native_protocol.go
+++ b/gateway/native_protocol.go
@@ -10,7 +10,7 @@
 // NativeHeaders are the header names of cassiabridge's native protocol (docs/PROTOCOLS.md).
 var NativeHeaders = Headers{
 	Attempt: "Cassiabridge-Attempt", Timeout: "Cassiabridge-Timeout-Millis", Tokens: "Cassiabridge-Tokens", OutputHint: "Cassiabridge-Output-Hint",
-	LastEventID: "Last-Event-Id", Account: "Cassiabridge-Account", Upstream: "Cassiabridge-Upstream", Stage: "Cassiabridge-Stage", PrefillStage: "Prefill",
+	PromptParts: "Cassiabridge-Prompt-Parts", LastEventID: "Last-Event-Id", Account: "Cassiabridge-Account", Upstream: "Cassiabridge-Upstream", Stage: "Cassiabridge-Stage", PrefillStage: "Prefill",
 	Source: "Cassiabridge-Source", NotRun: "Cassiabridge-Not-Run",
 }
 
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -20,6 +20,8 @@
 	MaxOutputTokens int
 	// OutputHint is the caller's estimate of the output length in tokens, or 0 if not stated.
 	OutputHint int
+	// SharedParts holds the IDs of the parts of the prompt that other requests may have too.
+	SharedParts []string
 	// LastEventID is the ID of the last stream event that the caller has received, or empty.
 	LastEventID string
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
@@ -42,6 +43,8 @@
 	random    func() float64
 	bodies    bodyMemory
 	inFlight  inFlight
+	// endChecks joins simultaneous checks of the same replica.
+	endChecks singleflight.Group
 }
 
 // NewServer returns a Server that takes placement and admission decisions from control and sends requests through
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -188,6 +188,9 @@
 	s.metrics.UpstreamFailures.WithLabelValues(r.pool.Name, outcome.String()).Inc()
 	if ctx.Err() == nil {
 		s.control.recordFailure(to, outcome == attempt.Unsent)
+		if outcome == attempt.InDoubt {
+			s.checkEnded(r, to)
+		}
 	}
 	r.avoid = append(r.avoid, to.ID)
 	return outcome
