--- a/standin/configuration.go
+++ b/standin/configuration.go
@@ -7,6 +7,7 @@
 	HeaderAttempt   = "Attempt-Id"
 	HeaderTimeout   = "Deadline-Ms"
 	HeaderTokens    = "Token-Usage"
+	HeaderParts     = "Prefix-Hash"
 	HeaderSignature = "Response-Signature"
 	HeaderAccount   = "Tenant"
 	HeaderReplica   = "Target-Instance"
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,17 @@
 	CutAfter int
 	// Silent neither runs nor answers the request.
 	Silent bool
+	// EndOnPart is the ID of a part of the prompt. When a decode engine begins to answer a request that has it, End is
+	// called, which ends the replica's process.
+	EndOnPart string
+	End       func()
+}
+
+// endsReplica reports whether the answer to a request ends the replica.
+func (f ReplicaFaults) endsReplica(h http.Header) bool {
+	return f.EndOnPart != "" && slices.ContainsFunc(strings.Split(h.Get(HeaderParts), ","), func(entry string) bool {
+		return strings.HasPrefix(entry, f.EndOnPart+":")
+	})
 }
 
 // Run records one request that a replica ran.
@@ -51,6 +63,8 @@
 	Body    string
 	// Prefill is true for a request for the prefill stage only.
 	Prefill bool
+	// StartedAt is when execution started.
+	StartedAt time.Time
 	// EndedAt is when execution stopped. It is zero while the request runs.
 	EndedAt time.Time
 	// Completed reports whether the request was executed and answered to the end.
@@ -206,7 +220,7 @@
 func (p *Replica) recordRun(r *http.Request, body string) *Run {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	run := &Run{Attempt: r.Header.Get(p.protocol.attempt), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: body,
+	run := &Run{Attempt: r.Header.Get(p.protocol.attempt), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: body, StartedAt: time.Now(),
 		Prefill: r.Header.Get(p.protocol.stage) == p.protocol.prefill}
 	p.runs = append(p.runs, run)
 	return run
@@ -272,6 +286,11 @@
 		if flusher.Flush() != nil {
 			return false
 		}
+		if faults.endsReplica(r.Header) {
+			go faults.End()
+			<-r.Context().Done()
+			return false
+		}
 	}
 	return true
 }
