Quarantine the parts of prompts that end the replicas that answer them

Cause: a query of death. Nothing tied the end of a replica to what it was running, so each VM sent each new request with the part to the next engine, and repeated resumable ones. Change: package quarantine (pure). An end counts if the connection broke within 2 s of the answer's beginning, the replica then refuses connections and was listed and not leaving. It counts against each shared part; an answer that is whole or lasts 2 s clears its parts; ends under another part that explain all of a part's ends excuse requests without that part. One moment: one request at a time over all VMs and no repeat; three (six for parts answered before): refused at once as not run, with a trial after 2 min, 8 min, 32 min. Evidence is merged from beacons, the quarantined parts are in the copy as well, for a restart of all.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -16,6 +16,7 @@
 	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/peer"
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/quarantine"
 	"github.com/cassiabridge/cassiabridge/quota"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
@@ -48,6 +49,7 @@
 	observers         []func()
 	scheduler         *placement.Scheduler
 	quotas            *quota.Limiter
+	quarantine        *quarantine.Tracker
 	budget            *retryBudget
 	peers             map[string]*peerState
 	replicas          replicaList
@@ -89,7 +91,7 @@
 func NewController(self peer.Identity, zone string, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueueCapacity),
-		refreshDeclarations: func() {}, scheduler: placement.NewScheduler(zone, rand.Float64), quotas: quota.NewLimiter(),
+		refreshDeclarations: func() {}, scheduler: placement.NewScheduler(zone, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(),
 		pendingPlacements: map[uint64]chan placement.Decision{}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiabridge/cassiabridge/follow"
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/quarantine"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
 
@@ -17,6 +18,7 @@
 const (
 	copyKeyDeclarations = "Declarations"
 	copyKeyReplicas     = "Replicas"
+	copyKeyQuarantine   = "Quarantine"
 )
 
 const (
@@ -42,13 +44,15 @@
 	leader   bool
 	table    *routing.Table
 	replicas []placement.Replica
+	// quarantined is the evidence on the quarantined parts of prompts.
+	quarantined map[string]quarantine.Evidence
 }
 
 // collectCopyState returns the state to copy, without doubtful replicas. The leader is the VM with the lowest name
 // among those that are neither silent nor leaving.
 func (c *Controller) collectCopyState() copyState {
 	return ask(c, func() copyState {
-		k := copyState{leader: true, table: c.table.Load()}
+		k := copyState{leader: true, table: c.table.Load(), quarantined: c.quarantine.Quarantined()}
 		for name, p := range c.peers {
 			if name < c.self.VM && !p.silent && !p.leaving {
 				k.leader = false
@@ -82,6 +86,9 @@
 		}
 		c.writeCopy(ctx, copies, written, copyKeyDeclarations, k.table.Declarations)
 		c.writeCopy(ctx, copies, written, copyKeyReplicas, k.replicas)
+		if len(k.quarantined) > 0 || written[copyKeyQuarantine] != "" {
+			c.writeCopy(ctx, copies, written, copyKeyQuarantine, k.quarantined)
+		}
 	}
 }
 
@@ -142,6 +149,11 @@
 			if err = json.Unmarshal(record.Value, &replicas); err == nil {
 				c.restoreReplicas(replicas)
 			}
+		case copyKeyQuarantine:
+			var quarantined map[string]quarantine.Evidence
+			if err = json.Unmarshal(record.Value, &quarantined); err == nil {
+				c.restoreQuarantine(quarantined)
+			}
 		}
 		if err != nil {
 			c.log.Warn("copy-unreadable", zap.String("Key", record.Key), zap.Error(err))
--- a/gateway/ended_replicas.go
+++ b/gateway/ended_replicas.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/quarantine"
 )
 
 // isBroken reports whether a request ended because the response of its upstream broke off.
@@ -19,17 +21,47 @@
 	return errors.As(reqErr.Err, &exchangeErr) && exchangeErr.Kind == exchange.ErrBroken
 }
 
-// checkEnded finds out whether the replica at which a request was running has ended, after the connection broke. A broken
-// connection alone does not tell: links and connections fail too.
-func (s *Server) checkEnded(r *request, replica placement.Replica) bool {
+// answerProgress tells whether an answer has lasted long enough to clear the parts of its prompt.
+type answerProgress struct {
+	startedAt time.Time
+	lasted    bool
+}
+
+// watchAnswer starts to follow the answer of an engine.
+func (s *Server) watchAnswer(r *request) {
+	r.answer = answerProgress{startedAt: s.control.now()}
 	if len(r.info.SharedParts) == 0 {
-		return false
+		return
+	}
+	r.w.onWrite = func() {
+		if s.control.now().Sub(r.answer.startedAt) >= quarantine.SurvivalPeriod {
+			s.recordLasting(r)
+		}
+	}
+}
+
+// recordLasting records that the answer has lasted or is complete.
+func (s *Server) recordLasting(r *request) {
+	if !r.answer.lasted && len(r.info.SharedParts) > 0 {
+		r.answer.lasted = true
+		s.control.recordSurvival(r.info.SharedParts)
+	}
+}
+
+// recordBroken records that a run at a replica broke off. If the replica has ended, this counts against the shared parts
+// of the prompt, unless the answer had lasted. A broken connection alone does not: links and connections fail too.
+func (s *Server) recordBroken(r *request, replica placement.Replica, lasted bool) {
+	parts := r.info.SharedParts
+	if len(parts) == 0 {
+		return
 	}
 	refused, _, _ := s.endChecks.Do(replica.ID, func() (any, error) {
 		return s.upstreams.Refuses(context.Background(), replica.Address), nil
 	})
 	ended := refused.(bool)
 	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.Bool("ReplicaEnded", ended),
-		zap.Strings("Parts", r.info.SharedParts))
-	return ended
+		zap.Bool("Lasted", lasted), zap.Strings("Parts", parts))
+	if ended && !lasted {
+		s.control.recordEnd(parts, replica)
+	}
 }
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -93,6 +93,11 @@
 // returned step allows another try.
 func (g *generation) try(ctx context.Context) (*Error, attempt.Step) {
 	s, r := g.server, g.r
+	endTrial, reqErr := s.admitParts(r)
+	defer endTrial()
+	if reqErr != nil {
+		return reqErr, attempt.End
+	}
 	askedAt := s.control.now()
 	decision, id := s.control.place(ctx, placement.Request{
 		Pool: r.pool.Name, PromptTokens: r.promptTokens(), OutputTokens: r.expectedOutput(), Priority: r.route.PriorityFor(r.account),
@@ -212,10 +217,14 @@
 	if retry || failed && r.w.started {
 		return g.discardResponse(ctx, from, result.resp, retry)
 	}
+	s.watchAnswer(r)
 	if r.route.Repeat != routing.Resumable || failed {
 		reqErr := s.relayResponse(r, from, result.resp)
-		if isBroken(reqErr) && ctx.Err() == nil {
-			go s.checkEnded(r, from)
+		switch {
+		case reqErr == nil && !failed:
+			s.recordLasting(r)
+		case isBroken(reqErr) && ctx.Err() == nil:
+			go s.recordBroken(r, from, r.answer.lasted)
 		}
 		return reqErr, attempt.End
 	}
@@ -229,6 +238,7 @@
 	var own *Error
 	switch {
 	case err == nil:
+		s.recordLasting(r)
 		return nil, attempt.ForwardAnswer
 	case errors.As(err, &own):
 		return own, attempt.End
@@ -236,7 +246,8 @@
 	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", lastID), zap.Error(err))
 	s.control.recordFailure(from, false)
 	if ctx.Err() == nil {
-		s.checkEnded(r, from)
+		s.recordBroken(r, from, r.answer.lasted)
+		r.runBroke = true
 	}
 	r.avoid = append(r.avoid, from.ID)
 	return s.forwardError(ctx, r, err), r.state.Next(attempt.Broken)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -142,6 +142,7 @@
 	c.scheduler.SetPeerLoads(b.VM, b.ReplicaLoads)
 	c.scheduler.SetPeerQueuedTokens(b.VM, b.QueuedTokens)
 	c.scheduler.SetPeerUnreachable(now, b.VM, b.UnreachableReplicas)
+	c.mergeEvidence(now, b)
 	for _, id := range b.ReplacedReplicas {
 		c.scheduler.MarkReplaced(id)
 	}
@@ -217,6 +218,7 @@
 	c.scheduler.SetPeerLoads(name, nil)
 	c.scheduler.SetPeerQueuedTokens(name, nil)
 	c.scheduler.SetPeerUnreachable(c.now(), name, nil)
+	c.quarantine.SetPeerTrials(name, nil)
 	if !p.lastBeaconAt.IsZero() {
 		c.log.Warn("vm-silent", zap.String("Peer", name), zap.Duration("Silence", since), zap.Bool("Leaving", p.leaving))
 	}
@@ -241,7 +243,10 @@
 	}
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
 		Leaving: c.leaving.Load(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
+		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(),
 		ListAge: -time.Millisecond, ListOffset: c.listSchedule.changedOffset}
+	c.quarantine.Expire(now)
+	c.metrics.QuarantinedParts.Set(float64(c.quarantine.QuarantinedCount()))
 	if now.Before(c.advertiseLevelsUntil) {
 		b.BucketLevels = c.quotas.Levels(now)
 	}
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -23,6 +23,8 @@
 	bytes int64
 	// onFirstByte is called before the first write of the body. It may be nil.
 	onFirstByte func()
+	// onWrite is called after each write of the body. It may be nil.
+	onWrite func()
 }
 
 // setWriteDeadline sets the time until which the response may be written to the caller.
@@ -59,6 +61,9 @@
 	if err != nil {
 		return err
 	}
+	if w.onWrite != nil {
+		w.onWrite()
+	}
 	return w.controller.Flush()
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -72,6 +72,10 @@
 	state attempt.State
 	// avoid lists the IDs of upstreams that must not be tried again for this request.
 	avoid []string
+	// answer is the progress of the answer that is being forwarded.
+	answer answerProgress
+	// runBroke is whether a run of the request broke off.
+	runBroke bool
 	// logFields are added to the log line that is written when the request ends.
 	logFields []zap.Field
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -189,7 +189,8 @@
 	if ctx.Err() == nil {
 		s.control.recordFailure(to, outcome == attempt.Unsent)
 		if outcome == attempt.InDoubt {
-			s.checkEnded(r, to)
+			s.recordBroken(r, to, false)
+			r.runBroke = true
 		}
 	}
 	r.avoid = append(r.avoid, to.ID)
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -27,6 +27,8 @@
 	Connections prometheus.Counter
 	// Version is the version of the declarations in force.
 	Version prometheus.Gauge
+	// QuarantinedParts is the number of parts of prompts that are quarantined.
+	QuarantinedParts prometheus.Gauge
 	// LogLinesDropped counts log lines that were dropped.
 	LogLinesDropped prometheus.Counter
 }
@@ -46,9 +48,10 @@
 		UpstreamFailures:    newCounterVec("upstream_failures_total", "Failed exchanges with upstreams.", "pool", "kind"),
 		Connections:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_total", Help: "Connections opened to upstreams."}),
 		Version:             prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "declarations_version", Help: "Version of the declarations in force."}),
+		QuarantinedParts:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "quarantined_parts", Help: "Parts of prompts that are quarantined."}),
 		LogLinesDropped:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that were left out."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures,
-		m.Connections, m.Version, m.LogLinesDropped)
+		m.Connections, m.Version, m.QuarantinedParts, m.LogLinesDropped)
 	return m
 }
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/ipv4"
 
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/quarantine"
 )
 
 const (
@@ -46,6 +47,10 @@
 	ReplacedReplicas []string
 	// UnreachableReplicas holds the IDs of replicas that the VM skips because it could not reach them.
 	UnreachableReplicas []string
+	// Suspects is the evidence on parts of prompts that may end replicas, by part. TrialParts holds the parts of which the
+	// VM runs a request as a trial.
+	Suspects   map[string]quarantine.Evidence
+	TrialParts []string
 	// ListAge is the time since the list of replicas was last read, at the time of sending. It is negative if the
 	// list has never been read.
 	ListAge time.Duration
@@ -58,21 +63,34 @@
 	Sequence        uint64
 	UptimeMillis    int64
 	Version         uint64
-	Leaving         bool               `json:",omitempty"`
-	Loads           map[string][2]int  `json:",omitempty"`
-	Waiting         map[string]int     `json:",omitempty"`
-	Spent           map[string]float64 `json:",omitempty"`
-	Levels          map[string]float64 `json:",omitempty"`
-	Replaced        []string           `json:",omitempty"`
-	Unreachable     []string           `json:",omitempty"`
+	Leaving         bool                      `json:",omitempty"`
+	Loads           map[string][2]int         `json:",omitempty"`
+	Waiting         map[string]int            `json:",omitempty"`
+	Spent           map[string]float64        `json:",omitempty"`
+	Levels          map[string]float64        `json:",omitempty"`
+	Replaced        []string                  `json:",omitempty"`
+	Unreachable     []string                  `json:",omitempty"`
+	Suspects        map[string]suspectMessage `json:",omitempty"`
+	Trials          []string                  `json:",omitempty"`
 	ListReadMillis  int64
 	ListChanged     uint64
 }
 
+type suspectMessage struct {
+	Generation uint64   `json:",omitempty"`
+	Ends       []string `json:",omitempty"`
+	Moments    int      `json:",omitempty"`
+	Sound      bool     `json:",omitempty"`
+	Trials     int      `json:",omitempty"`
+}
+
 func encodeBeacon(b Beacon) ([]byte, error) {
 	m := beaconMessage{VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version,
 		Leaving: b.Leaving, Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas, Loads: make(map[string][2]int, len(b.ReplicaLoads)),
-		ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset}
+		ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, Suspects: make(map[string]suspectMessage, len(b.Suspects)), Trials: b.TrialParts}
+	for part, evidence := range b.Suspects {
+		m.Suspects[part] = suspectMessage(evidence)
+	}
 	for id, load := range b.ReplicaLoads {
 		m.Loads[id] = [2]int{load.Requests, load.Tokens}
 	}
@@ -100,7 +118,13 @@
 	}
 	b := Beacon{VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: time.Duration(m.UptimeMillis) * time.Millisecond,
 		Version: m.Version, Leaving: m.Leaving, QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable, ReplicaLoads: make(map[string]placement.Load, len(m.Loads)),
-		ListAge: time.Duration(m.ListReadMillis) * time.Millisecond, ListOffset: m.ListChanged}
+		ListAge: time.Duration(m.ListReadMillis) * time.Millisecond, ListOffset: m.ListChanged, TrialParts: m.Trials}
+	if len(m.Suspects) > 0 {
+		b.Suspects = make(map[string]quarantine.Evidence, len(m.Suspects))
+	}
+	for part, suspect := range m.Suspects {
+		b.Suspects[part] = quarantine.Evidence(suspect)
+	}
 	for id, load := range m.Loads {
 		b.ReplicaLoads[id] = placement.Load{Requests: load[0], Tokens: load[1]}
 	}
--- a/peer/beacon_test.go
+++ b/peer/beacon_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/quarantine"
 )
 
 func TestBeaconRoundTrip(t *testing.T) {
@@ -19,7 +20,8 @@
 	require.NoError(t, err)
 	defer closeListener()
 	addr := listener.conn.LocalAddr().(*net.UDPAddr)
-	sent := Beacon{VM: "vm-1", Incarnation: "x", Sequence: 3, Uptime: 4 * time.Second, Version: 7, Leaving: true, ReplacedReplicas: []string{"i-9"}, UnreachableReplicas: []string{"i-8"},
+	sent := Beacon{VM: "vm-1", Incarnation: "x", Sequence: 3, Uptime: 4 * time.Second, Version: 7, Leaving: true, ReplacedReplicas: []string{"i-9"}, UnreachableReplicas: []string{"i-8"}, TrialParts: []string{"5c1e"},
+		Suspects:     map[string]quarantine.Evidence{"91bd": {Generation: 2, Ends: []string{"i-7"}, Moments: 1, Sound: true, Trials: 1}},
 		ReplicaLoads: map[string]placement.Load{"i-1": {Requests: 2, Tokens: 9000}}, QueuedTokens: map[string]int{"p": 5}, SpentTokens: map[string]float64{"a": 12.5}, BucketLevels: map[string]float64{"a": -3},
 		ListAge: 300 * time.Millisecond, ListOffset: 77}
 	require.NoError(t, listener.Send(sent, []*net.UDPAddr{addr}))
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -93,6 +93,12 @@
 	return listed
 }
 
+// Serves reports whether a replica is listed and not leaving.
+func (s *Scheduler) Serves(id string) bool {
+	r := s.replicas[id]
+	return r != nil && r.eligible()
+}
+
 // rebuildPools groups the replicas by pool, sorted by ID.
 func (s *Scheduler) rebuildPools() {
 	clear(s.pools)
--- /dev/null
+++ b/quarantine/exchange.go
@@ -0,0 +1,107 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSharedParts bounds the parts in a report to other VMs.
+	maxSharedParts = 24
+	// clearedSharePeriod is how long reports name a part that was cleared.
+	clearedSharePeriod = 5 * time.Second
+)
+
+// OwnTrials returns the sorted parts of which this VM runs a trial.
+func (t *Tracker) OwnTrials() []string {
+	var parts []string
+	for part, s := range t.suspects {
+		if s.ownTrials > 0 {
+			parts = append(parts, part)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// SetPeerTrials replaces the parts of which another VM runs a trial.
+func (t *Tracker) SetPeerTrials(vm string, parts []string) {
+	if len(parts) == 0 {
+		delete(t.peerTrials, vm)
+		return
+	}
+	t.peerTrials[vm] = parts
+}
+
+// Report returns the evidence to send to the other VMs: on the parts that changed last, whichever VM found it.
+func (t *Tracker) Report(now time.Time) map[string]Evidence {
+	var parts []string
+	for part, s := range t.suspects {
+		if len(s.ends) > 0 || now.Sub(s.changedAt) < clearedSharePeriod {
+			parts = append(parts, part)
+		}
+	}
+	if len(parts) > maxSharedParts {
+		slices.SortFunc(parts, func(a, b string) int {
+			return cmp.Or(t.suspects[b].changedAt.Compare(t.suspects[a].changedAt), cmp.Compare(a, b))
+		})
+		parts = parts[:maxSharedParts]
+	}
+	report := make(map[string]Evidence, len(parts))
+	for _, part := range parts {
+		report[part] = t.suspects[part].evidence()
+	}
+	return report
+}
+
+// Quarantined returns the evidence on all quarantined parts.
+func (t *Tracker) Quarantined() map[string]Evidence {
+	quarantined := map[string]Evidence{}
+	for part, s := range t.suspects {
+		if s.quarantined() {
+			quarantined[part] = s.evidence()
+		}
+	}
+	return quarantined
+}
+
+func (s *suspect) evidence() Evidence {
+	return Evidence{Generation: s.generation, Ends: slices.Clone(s.ends), Moments: s.moments, Sound: s.sound, Trials: s.trials}
+}
+
+// Merge adds evidence of other VMs. It returns the parts that become quarantined by it.
+func (t *Tracker) Merge(now time.Time, report map[string]Evidence) (quarantined []string) {
+	for _, part := range slices.Sorted(maps.Keys(report)) {
+		if t.merge(now, part, report[part]) {
+			quarantined = append(quarantined, part)
+		}
+	}
+	t.removeExcess()
+	return quarantined
+}
+
+// merge adds the evidence on one part and reports whether the part becomes quarantined by it.
+func (t *Tracker) merge(now time.Time, part string, e Evidence) bool {
+	s := t.suspect(now, part)
+	if e.Generation < s.generation {
+		// The sender has not heard that the part was cleared.
+		if len(e.Ends) > 0 {
+			s.changedAt = now
+		}
+		return false
+	}
+	s.sound = s.sound || e.Sound || t.sound[part]
+	if e.Generation > s.generation {
+		s.clear(now, e.Generation)
+	}
+	for _, replica := range e.Ends {
+		s.addEnd(now, replica)
+	}
+	s.moments = max(s.moments, e.Moments)
+	if e.Trials > s.trials {
+		s.trials, s.triedAt = e.Trials, now
+	}
+	return s.quarantineIfDue(now)
+}
