Treat a stream without framing that ends inside an event as broken off

What callers saw: a stream with neither a length nor chunks, cut by its engine's end, reached them as complete; a resumable one was not resumed. It would also have counted as a whole answer for the parts of its prompt. Cause: such a body ends with its connection, and an orderly close inside an event was taken for its end. Ruled out: keeping the connection (net/http marks it as to be closed), prefill answers (truncated JSON does not parse). Change: exchange says that only the connection ends a body; gateway then requires that an event stream ends between two events, after at least one. Streams with a length or chunks are judged by these, as before.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -59,7 +59,10 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known.
-	Length    int64
+	Length int64
+	// EndsWithConn is whether only the end of the connection ends the body, so that a truncated body may look complete.
+	EndsWithConn bool
+
 	body      io.ReadCloser
 	conn      *conn
 	client    *Client
@@ -210,7 +213,8 @@
 		return nil, &Error{Op: op, Kind: ErrInDoubt, Err: cause(ctx, readErr)}
 	}
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
-		body: httpResp.Body, conn: connection, client: c, addr: addr, stop: stop, write: write,
+		EndsWithConn: httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0,
+		body:         httpResp.Body, conn: connection, client: c, addr: addr, stop: stop, write: write,
 		cause: func(err error) error { return cause(ctx, err) }}
 	resp.keepAlive = !httpResp.Close && connection.applyKeepAlive(c.now(), httpResp.Header)
 	return resp, nil
@@ -315,6 +319,11 @@
 	return n, nil
 }
 
+// TruncatedError returns the error for a body that turns out to be truncated although it ended with io.EOF.
+func (r *Response) TruncatedError() error {
+	return &Error{Op: "read answer of " + r.addr, Kind: ErrBroken, Err: io.ErrUnexpectedEOF}
+}
+
 // ReadAll reads the whole body. It returns an *Error of kind ErrBroken if the body is truncated or longer than limit
 // bytes.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/cassiabridge/cassiabridge/exchange"
 )
@@ -14,6 +15,23 @@
 // line. A line ends with LF or CRLF.
 var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
+// eventTail follows the end of a stream, to tell whether it is between two events.
+type eventTail struct {
+	last []byte
+}
+
+// add adds the next bytes of the stream.
+func (t *eventTail) add(p []byte) {
+	longest := len(eventTerminators[len(eventTerminators)-1])
+	t.last = append(t.last, p[max(0, len(p)-longest):]...)
+	t.last = t.last[max(0, len(t.last)-longest):]
+}
+
+// insideEvent reports whether the stream ends inside an event, or before its first one.
+func (t *eventTail) insideEvent() bool {
+	return !slices.ContainsFunc(eventTerminators, func(terminator []byte) bool { return bytes.HasSuffix(t.last, terminator) })
+}
+
 // completeEventsLen returns the length in bytes of the complete events at the start of stream.
 func completeEventsLen(stream []byte) int {
 	end := 0
@@ -31,10 +49,12 @@
 func (w *responseWriter) copyEvents(resp *exchange.Response, lastID string) (string, error) {
 	buffer := make([]byte, copyBufferBytes)
 	var pending []byte
+	started := false
 	for {
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if end := completeEventsLen(pending); end > 0 {
+			started = true
 			complete := pending[:end]
 			if writeErr := w.writeAndFlush(complete); writeErr != nil {
 				return lastID, &Error{Op: "write response", Kind: ErrCallerGone, Err: writeErr}
@@ -45,6 +65,8 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
+		case err == io.EOF && resp.EndsWithConn && (len(pending) > 0 || !started):
+			return lastID, resp.TruncatedError()
 		case err == io.EOF && len(pending) > 0:
 			// The upstream's response is complete, so its unterminated last event is relayed too.
 			return lastID, w.writeAndFlush(pending)
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -23,3 +23,26 @@
 		})
 	}
 }
+
+func TestEventTail(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		pieces []string
+		inside bool
+	}{
+		{"between two events", []string{"id: 1\ndata: a\n", "\n"}, false},
+		{"between two events with carriage returns", []string{"data: a\r\n\r", "\n"}, false},
+		{"inside a line", []string{"data: a\n\n", "da"}, true},
+		{"after a line", []string{"data: a\n\ndata: b\n"}, true},
+		{"nothing", nil, true},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			var tail eventTail
+			for _, piece := range scenario.pieces {
+				tail.add([]byte(piece))
+			}
+			assert.Equal(t, scenario.inside, tail.insideEvent())
+		})
+	}
+}
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -67,17 +67,23 @@
 	return w.controller.Flush()
 }
 
-// copyBody streams the body of a response to the caller. If writing fails it returns an Error of kind ErrCallerGone;
+// copyBody streams the body of a response to the caller. An event stream that only the end of the connection ends is
+// truncated if it ends inside an event. If writing fails it returns an Error of kind ErrCallerGone;
 // read errors are returned as they are.
-func (w *responseWriter) copyBody(resp *exchange.Response) error {
+func (w *responseWriter) copyBody(resp *exchange.Response, stream bool) error {
 	buffer := make([]byte, copyBufferBytes)
+	var tail eventTail
 	for {
 		n, err := resp.Read(buffer)
 		if n > 0 {
+			tail.add(buffer[:n])
 			if writeErr := w.writeAndFlush(buffer[:n]); writeErr != nil {
 				return &Error{Op: "write response", Kind: ErrCallerGone, Err: writeErr}
 			}
 		}
+		if err == io.EOF && stream && resp.EndsWithConn && tail.insideEvent() {
+			return resp.TruncatedError()
+		}
 		if err == io.EOF {
 			return nil
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -202,7 +202,8 @@
 	defer resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID))
 	r.w.start(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Length)
-	return relayError(r.w.copyBody(resp))
+	stream := r.route.Stream && resp.Status == http.StatusOK
+	return relayError(r.w.copyBody(resp, stream))
 }
 
 // relayError converts an error of relaying a response body to an *Error.
--- a/integration/site_streams_test.go
+++ b/integration/site_streams_test.go
@@ -63,3 +63,35 @@
 		assert.Len(t, s.runsOf(a.attempt), 1)
 	})
 }
+
+func TestSiteStreamThatEndsInsideAnEventIsNotComplete(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	setFaults := func(faults standin.ReplicaFaults) {
+		faults.Unframed = true
+		s.replicas["d-0"].SetFaults(faults)
+		s.replicas["d-1"].SetFaults(faults)
+	}
+	for _, path := range []string{"/review/a", "/check/a"} {
+		t.Run("whole "+path, func(t *testing.T) {
+			setFaults(standin.ReplicaFaults{})
+			a := s.send(s.vms[0], streamRequest(path))
+			assertResponse(t, a, streamBody(a.attempt, 20))
+			assert.Len(t, s.runsOf(a.attempt), 1)
+		})
+	}
+	t.Run("cut", func(t *testing.T) {
+		setFaults(standin.ReplicaFaults{CutAfter: 5})
+		a := s.send(s.vms[0], streamRequest("/review/a"))
+		assert.False(t, a.complete, "a broken stream must not look complete")
+		assert.Len(t, s.runsOf(a.attempt), 1)
+	})
+	t.Run("cut and resumed", func(t *testing.T) {
+		setFaults(standin.ReplicaFaults{CutAfter: 5})
+		s.replicas["d-1"].SetFaults(standin.ReplicaFaults{Unframed: true})
+		for range 6 {
+			a := s.send(s.vms[0], streamRequest("/check/a"))
+			assertResponse(t, a, streamBody(a.attempt, 20))
+		}
+	})
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -39,6 +39,8 @@
 	LoseAnswer bool
 	// CutAfter is an event number. A stream breaks in the middle of its first event with a higher number. 0 means never.
 	CutAfter int
+	// Unframed streams have neither a length nor chunks, and end with their connection.
+	Unframed bool
 	// Silent neither runs nor answers the request.
 	Silent bool
 	// EndOnPart is the ID of a part of the prompt. When a decode engine begins to answer a request that has it, End is
@@ -271,6 +273,9 @@
 		return true
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if faults.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	flusher := http.NewResponseController(w)
 	for n := first + 1; n <= p.cfg.Events; n++ {
 		if !sleepWhileConnected(r, p.cfg.WorkDuration) {
