Ask each unreachable decode engine once while a prefill result is kept

What callers saw: while two decode engines were down, their requests waited 0.4 s and were refused although they were known to be unserved at once; the VM meanwhile dialed the two by turns (1,959 decode-replaced lines of seven VMs in the cut of the log) and dropped log lines. Cause: ReassignDecode skipped only the engines that had failed when the request was queued, and the last one asked. Ruled out: the retry budget (a refused connection is not sent, so it costs none) and the number of tries (a replacement is part of one try). Change: it skips all replicas that have failed the request so far. Engines that are full stay candidates after their backoff, as before.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -274,11 +274,11 @@
 	found   bool
 }
 
-// replaceDecode chooses another decode engine for a request whose prefill is done.
-func (c *Controller) replaceDecode(id uint64) (placement.Replica, bool) {
+// replaceDecode chooses another decode engine for a request whose prefill is done, other than those in failed.
+func (c *Controller) replaceDecode(id uint64, failed []string) (placement.Replica, bool) {
 	choice := ask(c, func() replicaChoice {
 		c.beacon.dirty = true
-		replica, found := c.scheduler.ReassignDecode(c.now(), id)
+		replica, found := c.scheduler.ReassignDecode(c.now(), id, failed)
 		return replicaChoice{replica, found}
 	})
 	return choice.replica, choice.found
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -193,7 +193,7 @@
 		step := r.state.Next(result.outcome)
 		next, found := placement.Replica{}, false
 		if r.state.MayRun() && result.outcome != attempt.InDoubt && ctx.Err() == nil && s.control.now().Before(fetchBy) {
-			next, found = s.control.replaceDecode(id)
+			next, found = s.control.replaceDecode(id, r.avoid)
 		}
 		if found && result.outcome == attempt.Refused && !s.takeRetryBudget(r, 1) {
 			found, step = false, attempt.End
--- a/integration/site_streams_test.go
+++ b/integration/site_streams_test.go
@@ -95,3 +95,21 @@
 		}
 	})
 }
+
+// TestSiteRequestAsksDeadEnginesByTurns guards against a request that dials two dead decode engines again and again while
+// its prefill result is kept.
+func TestSiteRequestAsksDeadEnginesByTurns(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	for _, id := range []string{"d-0", "d-1"} {
+		s.updateEntry(id, "address", freeAddr(t))
+	}
+	s.eventually(maxSitePropagationDelay, "the addresses are known", func() bool {
+		return len(s.logLines(s.vms[0], "Event=replica-listed", "Replica=d-1")) > 1
+	})
+	a := s.send(s.vms[0], streamRequest("/review/a"))
+	s.assertNotRun(t, a)
+	for _, id := range []string{"d-0", "d-1"} {
+		assert.LessOrEqual(t, len(s.logLines(s.vms[0], "Event=upstream-failed", "Request="+a.attempt+" ", "Replica="+id)), 1, id)
+	}
+}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -322,13 +322,14 @@
 }
 
 // ReassignDecode assigns another decode engine to a request that has been prefilled, after the previous decode engine
-// could not take it. It reports false if no engine is available.
-func (s *Scheduler) ReassignDecode(now time.Time, id uint64) (Replica, bool) {
+// could not take it. failed holds the IDs of all replicas that have failed the request. It reports false if no engine is
+// available.
+func (s *Scheduler) ReassignDecode(now time.Time, id uint64, failed []string) (Replica, bool) {
 	req := s.requests[id]
 	if req == nil {
 		return Replica{}, false
 	}
-	avoid := append(slices.Clone(req.Avoid), req.decodeID)
+	avoid := append(slices.Clone(failed), req.decodeID)
 	s.releaseDecode(req)
 	var best *replica
 	for _, d := range s.candidates(now, req.Pool, StageDecode, avoid) {
--- a/placement/fleet_simulation_test.go
+++ b/placement/fleet_simulation_test.go
@@ -211,6 +211,7 @@
 	r.prefilled = true
 	f.result.prefilledTokens += r.prompt
 	needed := r.prompt + r.output
+	var failed []string
 	for !f.reaches(now, r.decode) || f.memory[r.decode]+needed > fleetMemoryTokens {
 		if f.reaches(now, r.decode) {
 			f.result.full++
@@ -221,8 +222,9 @@
 			now = now.Add(fleetDialTimeout)
 			f.result.unreachable++
 			r.scheduler.RecordFailure(now, r.decode, true)
+			failed = append(failed, r.decode)
 		}
-		next, found := r.scheduler.ReassignDecode(now, r.id)
+		next, found := r.scheduler.ReassignDecode(now, r.id, failed)
 		if !found || now.Sub(r.prefilledAt) > fleetResultRetention {
 			f.result.wastedTokens += r.prompt
 			f.result.refused++
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -235,6 +235,17 @@
 	})
 }
 
+func TestReassignDecodeSkipsFailedEngines(t *testing.T) {
+	s := newTestScheduler(1, 3)
+	first := submit(t, s, 0, request(1, 0, 5000, 3000)).Decode.ID
+	second, found := s.ReassignDecode(at(0), 1, []string{first})
+	require.True(t, found)
+	third, found := s.ReassignDecode(at(0), 1, []string{first, second.ID})
+	require.True(t, found)
+	_, found = s.ReassignDecode(at(0), 1, []string{first, second.ID, third.ID})
+	assert.False(t, found)
+}
+
 func TestReassignDecode(t *testing.T) {
 	s := newTestScheduler(1, 3)
 	d := submit(t, s, 0, request(1, 0, 5000, 3000))
@@ -243,14 +254,14 @@
 	seen := map[string]bool{last: true}
 	for range 2 {
 		s.MarkFull(at(100*time.Millisecond), last)
-		next, found := s.ReassignDecode(at(100*time.Millisecond), 1)
+		next, found := s.ReassignDecode(at(100*time.Millisecond), 1, nil)
 		require.True(t, found)
 		assert.False(t, seen[next.ID])
 		last = next.ID
 		seen[last] = true
 	}
 	s.MarkFull(at(100*time.Millisecond), last)
-	_, found := s.ReassignDecode(at(100*time.Millisecond), 1)
+	_, found := s.ReassignDecode(at(100*time.Millisecond), 1, nil)
 	assert.False(t, found, "all decode engines are full")
 	assert.Empty(t, s.Poll(at(100*time.Millisecond)))
 	s.Submit(request(2, 100*time.Millisecond, 5000, 3000))
