--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -26,11 +26,13 @@
 	momentPeriod = 300 * time.Millisecond
 	// maxEnds bounds the replicas that are kept for a part.
 	maxEnds = 16
-	// firstTrialDelay is the time from the quarantine to the first trial. Each later delay is trialDelayFactor times as
-	// long, up to maxTrialDelay: a trial that fails costs a replica.
-	firstTrialDelay  = 2 * time.Minute
-	trialDelayFactor = 4
-	maxTrialDelay    = 2 * time.Hour
+	// firstTrialDelay is the time from the quarantine to the first trial, and firstSoundTrialDelay that for parts that were
+	// answered before. Each later delay is trialDelayFactor times as long, up to maxTrialDelay: a trial that fails costs a
+	// replica.
+	firstTrialDelay      = 2 * time.Minute
+	firstSoundTrialDelay = 20 * time.Second
+	trialDelayFactor     = 8
+	maxTrialDelay        = 2 * time.Hour
 	// evidenceExpiry is the time after its last end at which a part is no longer suspected, quarantineExpiry the time
 	// without requests after which a part is no longer quarantined.
 	evidenceExpiry   = time.Minute
@@ -160,6 +162,9 @@
 // trialDueAt returns the time from which a quarantined part may have its next trial.
 func (s *suspect) trialDueAt() time.Time {
 	delay, from := firstTrialDelay, s.quarantinedAt
+	if s.sound {
+		delay = firstSoundTrialDelay
+	}
 	for range s.trials {
 		delay, from = min(delay*trialDelayFactor, maxTrialDelay), s.triedAt
 	}
