Log the request limits that replicas name

Ruled out: taking the header's text into the log unbounded or unchecked; what is no decimal number, negative or huge is logged as invalid and has no effect, zero counts as the lowest limit, the lowest of several counts. Change: the adapter names the header, gateway parses it, and replica-limit says when it changes at a VM. No decision depends on it yet.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -38,6 +38,8 @@
 	events  chan func()
 	table   atomic.Pointer[routing.Table]
 	leaving atomic.Bool
+	// limitsNamed is whether any replica has named a request limit.
+	limitsNamed atomic.Bool
 	// sendBeacon sends a beacon to peers, refreshDeclarations triggers a read of the declarations, and readList triggers
 	// a read of the replica list.
 	sendBeacon          func(peer.Beacon, []peerAddress) error
@@ -46,13 +48,15 @@
 
 	// The fields below are only accessed by the control goroutine.
 	// observers are called whenever new declarations take effect.
-	observers         []func()
-	scheduler         *placement.Scheduler
-	quotas            *quota.Limiter
-	quarantine        *quarantine.Tracker
-	budget            *retryBudget
-	peers             map[string]*peerState
-	replicas          replicaList
+	observers  []func()
+	scheduler  *placement.Scheduler
+	quotas     *quota.Limiter
+	quarantine *quarantine.Tracker
+	budget     *retryBudget
+	peers      map[string]*peerState
+	replicas   replicaList
+	// namedLimits holds the request limits that replicas named in their last answers, by replica ID.
+	namedLimits       map[string]float64
 	listSchedule      listReadSchedule
 	pendingPlacements map[uint64]chan placement.Decision
 	lastID            uint64
@@ -92,7 +96,7 @@
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueueCapacity),
 		refreshDeclarations: func() {}, scheduler: placement.NewScheduler(zone, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
-		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(),
+		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), namedLimits: map[string]float64{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,6 +35,8 @@
 	Source       string
 	// NotRun marks the response of an upstream that has not run the request and never will.
 	NotRun string
+	// RequestLimit holds the requests per second that an upstream takes from all VMs together, as a decimal number.
+	RequestLimit string
 	// Stripped lists further headers that are removed from callers' requests before they are forwarded.
 	Stripped []string
 }
@@ -44,6 +47,12 @@
 	// maxSharedParts and maxPartIDBytes bound what is kept of the parts that a caller states.
 	maxSharedParts = 16
 	maxPartIDBytes = 64
+	// minRequestLimit and maxRequestLimit bound the limits that upstreams name, in requests per second. With the lowest
+	// one, an upstream still gets enough requests to tell when it names no limit any more.
+	minRequestLimit = 0.25
+	maxRequestLimit = 1e6
+	// maxLoggedLimitBytes bounds how much of an invalid limit is logged.
+	maxLoggedLimitBytes = 32
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -149,5 +158,23 @@
 	info := ResponseInfo{Attempt: h.Get(n.Attempt)}
 	info.Misdirected = status == http.StatusMisdirectedRequest
 	info.NotRun = h.Get(n.NotRun) != "" || info.Misdirected
+	info.RequestLimit, info.InvalidLimit = parseRequestLimit(h.Values(n.RequestLimit))
 	return info
 }
+
+// parseRequestLimit returns the lowest valid limit among the values of the header, in requests per second, or 0 if there
+// is none, and a value that is not valid, or "". A limit below minRequestLimit is raised to it.
+func parseRequestLimit(values []string) (limit float64, invalid string) {
+	for _, text := range values {
+		value, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || math.IsNaN(value) || value < 0 || value > maxRequestLimit {
+			invalid = text
+			continue
+		}
+		value = max(value, minRequestLimit)
+		if limit == 0 || value < limit {
+			limit = value
+		}
+	}
+	return limit, invalid[:min(len(invalid), maxLoggedLimitBytes)]
+}
--- a/gateway/headers_test.go
+++ b/gateway/headers_test.go
@@ -30,3 +30,29 @@
 		assert.Len(t, parseSharedParts(strings.Repeat("a:1,", 10*maxSharedParts)), maxSharedParts)
 	})
 }
+
+func TestRequestLimits(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		values  []string
+		limit   float64
+		invalid string
+	}{
+		{"none", nil, 0, ""},
+		{"a decimal number", []string{" 2.2 "}, 2.2, ""},
+		{"the lowest of many", []string{"7", "x", "3"}, 3, "x"},
+		{"zero", []string{"0"}, minRequestLimit, ""},
+		{"negative", []string{"-1"}, 0, "-1"},
+		{"no number", []string{"NaN"}, 0, "NaN"},
+		{"infinite", []string{"Inf"}, 0, "Inf"},
+		{"huge", []string{"1e300"}, 0, "1e300"},
+		{"long", []string{strings.Repeat("y", 1000)}, 0, strings.Repeat("y", maxLoggedLimitBytes)},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			info := NativeHeaders.readResponseInfo(http.StatusOK, http.Header{NativeHeaders.RequestLimit: scenario.values})
+			assert.Equal(t, scenario.limit, info.RequestLimit)
+			assert.Equal(t, scenario.invalid, info.InvalidLimit)
+		})
+	}
+}
--- a/gateway/native_protocol.go
+++ b/gateway/native_protocol.go
@@ -11,7 +11,7 @@
 var NativeHeaders = Headers{
 	Attempt: "Cassiabridge-Attempt", Timeout: "Cassiabridge-Timeout-Millis", Tokens: "Cassiabridge-Tokens", OutputHint: "Cassiabridge-Output-Hint",
 	PromptParts: "Cassiabridge-Prompt-Parts", LastEventID: "Last-Event-Id", Account: "Cassiabridge-Account", Upstream: "Cassiabridge-Upstream", Stage: "Cassiabridge-Stage", PrefillStage: "Prefill",
-	Source: "Cassiabridge-Source", NotRun: "Cassiabridge-Not-Run",
+	Source: "Cassiabridge-Source", NotRun: "Cassiabridge-Not-Run", RequestLimit: "Cassiabridge-Request-Limit",
 }
 
 // resultPath is the path prefix of prefill results on an engine.
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -50,6 +50,10 @@
 	NotRun bool
 	// Misdirected is set if a different upstream now answers at the address.
 	Misdirected bool
+	// RequestLimit is the number of requests per second that the upstream takes from all VMs together, or 0 if it names
+	// none. InvalidLimit is a value that could not be used, or empty.
+	RequestLimit float64
+	InvalidLimit string
 }
 
 // Protocol translates between HTTP messages and the gateway's types. Each platform's adapter provides one.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -120,11 +120,18 @@
 	sentAt := s.control.now()
 	resp, err := s.upstreams.Do(ctx, to.Address, s.upstreamRequest(r, hop))
 	result := exchangeResult{outcome: attempt.Answered, resp: resp, err: err}
+	var info ResponseInfo
+	if err == nil {
+		info = s.protocol.ReadResponseInfo(resp.Status, resp.Header)
+	}
+	if err == nil && !info.Misdirected {
+		s.control.observeLimit(to, info)
+	}
 	switch {
 	case err != nil:
 		result.outcome = s.handleExchangeError(ctx, r, to, hop, sentAt, err)
-	case s.protocol.ReadResponseInfo(resp.Status, resp.Header).NotRun:
-		s.handleRefusal(r, to, hop, resp)
+	case info.NotRun:
+		s.handleRefusal(r, to, hop, resp, info)
 		result = exchangeResult{outcome: attempt.Refused, err: errors.New("the upstream did not run the request")}
 	case resp.Status >= http.StatusInternalServerError:
 		result.outcome = attempt.Failed
@@ -156,8 +163,7 @@
 
 // handleRefusal closes, logs and counts a response that says that the upstream has not run the request. The upstream is
 // reported to the controller as replaced if the request was misdirected, and otherwise as full if it is an engine.
-func (s *Server) handleRefusal(r *request, to placement.Replica, hop Hop, resp *exchange.Response) {
-	info := s.protocol.ReadResponseInfo(resp.Status, resp.Header)
+func (s *Server) handleRefusal(r *request, to placement.Replica, hop Hop, resp *exchange.Response, info ResponseInfo) {
 	resp.Close()
 	s.log.Info("upstream-refused", zap.String("Request", r.info.Attempt), zap.String("Replica", to.ID), zap.Int("Status", resp.Status),
 		zap.Bool("Misdirected", info.Misdirected), zap.Stringer("Stage", hop.Stage))
