Reproduce a replica that gets more than the limit that it names, as a failing test

Cause: not mended yet: no VM reads the limit (hypothesis 1). Ruled out: hypothesis 2, since the excess lasts for as long as the limit, and 3, since one VM alone would exceed it. Conclusion: the limit must be part of the choice of a replica.

--- a/standin/configuration.go
+++ b/standin/configuration.go
@@ -16,6 +16,8 @@
 	HeaderPriority  = "Request-Priority"
 	headerNotRun    = "Not-Executed"
 	headerSource    = "Kv-Source"
+
+	headerRequestLimit = "Server-Limit"
 )
 
 // Headers of the router's own protocol, for installations without the users' platform.
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -39,6 +39,8 @@
 	LoseAnswer bool
 	// CutAfter is an event number. A stream breaks in the middle of its first event with a higher number. 0 means never.
 	CutAfter int
+	// RequestLimit is the number of requests per second that all answers name, as text, or empty.
+	RequestLimit string
 	// Unframed streams have neither a length nor chunks, and end with their connection.
 	Unframed bool
 	// Silent neither runs nor answers the request.
@@ -156,6 +158,9 @@
 	p.mu.Lock()
 	faults := p.faults
 	p.mu.Unlock()
+	if faults.RequestLimit != "" {
+		w.Header().Set(headerRequestLimit, faults.RequestLimit)
+	}
 	if faults.Silent {
 		<-r.Context().Done()
 		return
