Bound the wait for the check whether a replica has ended

Cause: a request that may be sent again waited for the check, 300 ms where the replica's VM is cut off rather than ended. Ruled out: not waiting, since the repeat must know of the end. Change: the check ends after 100 ms; a refused connection is known within a round trip.

--- a/gateway/ended_replicas.go
+++ b/gateway/ended_replicas.go
@@ -12,6 +12,9 @@
 	"github.com/cassiabridge/cassiabridge/quarantine"
 )
 
+// endCheckTimeout bounds the check whether a replica has ended, for which a request that is sent again waits.
+const endCheckTimeout = 100 * time.Millisecond
+
 // isBroken reports whether a request ended because the response of its upstream broke off.
 func isBroken(reqErr *Error) bool {
 	if reqErr == nil {
@@ -56,7 +59,9 @@
 		return
 	}
 	refused, _, _ := s.endChecks.Do(replica.ID, func() (any, error) {
-		return s.upstreams.Refuses(context.Background(), replica.Address), nil
+		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+		defer cancel()
+		return s.upstreams.Refuses(ctx, replica.Address), nil
 	})
 	ended := refused.(bool)
 	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.Bool("ReplicaEnded", ended),
