Split beacons off the peers of a gateway, and their wire format off the socket

Ruled out: a change of the format. Change: gateway/beacons.go and peer/beacon_message.go; handleBeacon in steps; one mapValues. Conclusion: tidied.

--- /dev/null
+++ b/gateway/beacons.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiabridge/cassiabridge/peer"
+)
+
+const (
+	// minRefreshInterval is the minimum time between two reads of the declarations that beacons of peers trigger.
+	minRefreshInterval = 500 * time.Millisecond
+	// sameStartTolerance is the difference in uptime up to which two VMs count as started together. Neither then adopts
+	// the account levels of the other.
+	sameStartTolerance = 2 * time.Second
+	// levelAdvertisePeriod is how long beacons include account levels after a peer has started.
+	levelAdvertisePeriod = time.Second
+)
+
+// HandleBeacon applies a beacon of a peer. Outdated beacons are ignored. A beacon of an unknown VM, or of a new process
+// of a known one, registers its sender: a VM reads the list of VMs when it starts, and seldom afterwards.
+func (c *Controller) HandleBeacon(b peer.Beacon, from netip.AddrPort) {
+	c.post(func() { c.handleBeacon(b, from) })
+}
+
+func (c *Controller) handleBeacon(b peer.Beacon, from netip.AddrPort) {
+	if b.VM == c.self.VM {
+		return
+	}
+	p := c.peers[b.VM]
+	if p == nil || p.incarnation != b.Incarnation && !sameAddress(p.address, from) {
+		p = c.registerPeer(b.VM, net.UDPAddrFromAddrPort(from))
+	}
+	if p.incarnation == b.Incarnation && b.Sequence <= p.sequence {
+		return
+	}
+	now := c.now()
+	afterSilence := p.silent && p.incarnation == b.Incarnation
+	c.recordHeard(now, p, b)
+	c.quotas.ApplyPeerSpent(now, processRun(b.VM, b.Incarnation), b.SpentTokens, afterSilence)
+	c.adoptLevels(now, b)
+	c.scheduler.SetPeerLoads(b.VM, b.ReplicaLoads)
+	c.scheduler.SetPeerQueuedTokens(b.VM, b.QueuedTokens)
+	c.scheduler.SetPeerUnreachable(now, b.VM, b.UnreachableReplicas)
+	c.mergeEvidence(now, b)
+	c.mergeLimits(b)
+	for _, id := range b.ReplacedReplicas {
+		c.scheduler.MarkReplaced(id)
+	}
+	if b.ListAge >= 0 && !b.Leaving {
+		c.listSchedule.recordPeerRead(now.Add(-b.ListAge))
+	}
+	c.listSchedule.recordPeerChange(b.ListOffset)
+	c.refreshIfNewer(now, b.Version)
+}
+
+// processRun names one run of a peer's process.
+func processRun(vm, incarnation string) string { return vm + "/" + incarnation }
+
+// recordHeard records that a peer has been heard. A new process of a VM starts without spent tokens.
+func (c *Controller) recordHeard(now time.Time, p *peerState, b peer.Beacon) {
+	switch {
+	case p.incarnation != b.Incarnation:
+		c.recordPeerStart(now, p, b)
+	case p.silent && !p.lastBeaconAt.IsZero():
+		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.lastBeaconAt)))
+	}
+	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.lastBeaconAt.IsZero()
+	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving = b.Incarnation, b.Sequence, now, false, b.Leaving
+}
+
+// recordPeerStart records the first beacon of a process.
+func (c *Controller) recordPeerStart(now time.Time, p *peerState, b peer.Beacon) {
+	c.quotas.ForgetPeerRun(processRun(b.VM, p.incarnation))
+	if b.Uptime > now.Sub(c.startedAt) {
+		// The peer spent most of these tokens before this process started, so they are only the baseline.
+		c.quotas.SetPeerBaseline(processRun(b.VM, b.Incarnation), b.SpentTokens)
+	} else {
+		c.advertiseLevelsUntil = now.Add(levelAdvertisePeriod)
+		c.beacon.dirty = true
+	}
+	c.log.Info("vm-heard", zap.String("Peer", b.VM), zap.String("Incarnation", b.Incarnation), zap.Duration("Uptime", b.Uptime))
+}
+
+// adoptLevels adopts the account levels of a peer that started before this VM.
+func (c *Controller) adoptLevels(now time.Time, b peer.Beacon) {
+	if b.BucketLevels == nil || b.Uptime-now.Sub(c.startedAt) <= sameStartTolerance || !c.quotas.AdoptLevels(b.BucketLevels) {
+		return
+	}
+	c.log.Info("rates-adopted", zap.String("Peer", b.VM), zap.Int("Accounts", len(b.BucketLevels)), zap.Duration("Uptime", b.Uptime))
+}
+
+func sameAddress(a peerAddress, b netip.AddrPort) bool {
+	return a.Port == int(b.Port()) && a.IP.Equal(b.Addr().AsSlice())
+}
+
+// refreshIfNewer triggers a read of the declarations if a peer has a newer version. Triggers are rate limited, so that
+// beacons do not cause a storm of reads while the store does not respond.
+func (c *Controller) refreshIfNewer(now time.Time, version uint64) {
+	table := c.table.Load()
+	if table != nil && version <= table.Version || now.Sub(c.refreshedAt) < minRefreshInterval {
+		return
+	}
+	c.refreshedAt = now
+	c.refreshDeclarations()
+}
+
+func (c *Controller) sendBeaconIfDue(now time.Time) {
+	if c.beacon.dueIn(now, len(c.peers)) > 0 {
+		return
+	}
+	var to []peerAddress
+	for _, p := range c.peers {
+		to = append(to, p.address)
+	}
+	c.beacon.sequence++
+	c.beacon.sentAt, c.beacon.dirty, c.beacon.tokensSpent = now, false, false
+	if len(to) == 0 {
+		return
+	}
+	c.quarantine.Expire(now)
+	c.limits.Expire(now)
+	c.metrics.QuarantinedParts.Set(float64(c.quarantine.QuarantinedCount()))
+	if err := c.sendBeacon(c.newBeacon(now), to); err != nil {
+		c.log.Debug("beacon-not-sent", zap.Error(err))
+	}
+}
+
+// newBeacon returns a beacon with the state of this VM.
+func (c *Controller) newBeacon(now time.Time) peer.Beacon {
+	version := uint64(0)
+	if table := c.table.Load(); table != nil {
+		version = table.Version
+	}
+	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
+		Leaving: c.leaving.Load(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
+		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
+		ListAge: -time.Millisecond, ListOffset: c.listSchedule.changedOffset}
+	if now.Before(c.advertiseLevelsUntil) {
+		b.BucketLevels = c.quotas.Levels(now)
+	}
+	if !c.listSchedule.readAt.IsZero() {
+		b.ListAge = now.Sub(c.listSchedule.readAt)
+	}
+	return b
+}
+
+// WithBeaconSender sets the function that sends a beacon to a list of peers.
+func WithBeaconSender(send func(peer.Beacon, []peerAddress) error) Option {
+	return func(c *Controller) { c.sendBeacon = send }
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,27 +3,18 @@
 import (
 	"encoding/json"
 	"net"
-	"net/netip"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/follow"
-	"github.com/cassiabridge/cassiabridge/peer"
 )
 
 const (
-	// minRefreshInterval is the minimum time between two reads of the declarations that beacons of peers trigger.
-	minRefreshInterval = 500 * time.Millisecond
 	// silenceTimeout is the time without a beacon after which a peer counts as silent: its loads are dropped, and its even
 	// share of each quota stays reserved for it.
 	silenceTimeout = 1500 * time.Millisecond
-	// sameStartTolerance is the difference in uptime up to which two VMs count as started together. Neither then adopts
-	// the account levels of the other.
-	sameStartTolerance = 2 * time.Second
-	// levelAdvertisePeriod is how long beacons include account levels after a peer has started.
-	levelAdvertisePeriod = time.Second
 	// peerExpiry is the time without a beacon after which a peer no longer counts as a member. Network partitions last
 	// some seconds and must not expire the peers behind them.
 	peerExpiry = 60 * time.Second
@@ -99,77 +90,6 @@
 	return p
 }
 
-// HandleBeacon applies a beacon of a peer. Outdated beacons are ignored. A beacon of an unknown VM, or of a new process
-// of a known one, registers its sender: a VM reads the list of VMs when it starts, and seldom afterwards.
-func (c *Controller) HandleBeacon(b peer.Beacon, from netip.AddrPort) {
-	c.post(func() { c.handleBeacon(b, from) })
-}
-
-func (c *Controller) handleBeacon(b peer.Beacon, from netip.AddrPort) {
-	if b.VM == c.self.VM {
-		return
-	}
-	p := c.peers[b.VM]
-	if p == nil || p.incarnation != b.Incarnation && !sameAddress(p.address, from) {
-		p = c.registerPeer(b.VM, net.UDPAddrFromAddrPort(from))
-	}
-	now := c.now()
-	instance := b.VM + "/" + b.Incarnation
-	switch {
-	case p.incarnation == b.Incarnation && b.Sequence <= p.sequence:
-		return
-	case p.incarnation != b.Incarnation:
-		c.quotas.ForgetPeerRun(b.VM + "/" + p.incarnation)
-		if b.Uptime > now.Sub(c.startedAt) {
-			// The peer spent most of these tokens before this process started, so they are only the baseline.
-			c.quotas.SetPeerBaseline(instance, b.SpentTokens)
-		} else {
-			c.advertiseLevelsUntil = now.Add(levelAdvertisePeriod)
-			c.beacon.dirty = true
-		}
-		c.log.Info("vm-heard", zap.String("Peer", b.VM), zap.String("Incarnation", b.Incarnation), zap.Duration("Uptime", b.Uptime))
-	case p.silent && !p.lastBeaconAt.IsZero():
-		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.lastBeaconAt)))
-	}
-	afterSilence := p.silent && p.incarnation == b.Incarnation
-	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.lastBeaconAt.IsZero()
-	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving = b.Incarnation, b.Sequence, now, false, b.Leaving
-	c.quotas.ApplyPeerSpent(now, instance, b.SpentTokens, afterSilence)
-	if b.BucketLevels != nil && b.Uptime-now.Sub(c.startedAt) > sameStartTolerance {
-		if c.quotas.AdoptLevels(b.BucketLevels) {
-			c.log.Info("rates-adopted", zap.String("Peer", b.VM), zap.Int("Accounts", len(b.BucketLevels)), zap.Duration("Uptime", b.Uptime))
-		}
-	}
-	c.scheduler.SetPeerLoads(b.VM, b.ReplicaLoads)
-	c.scheduler.SetPeerQueuedTokens(b.VM, b.QueuedTokens)
-	c.scheduler.SetPeerUnreachable(now, b.VM, b.UnreachableReplicas)
-	c.mergeEvidence(now, b)
-	c.mergeLimits(b)
-	for _, id := range b.ReplacedReplicas {
-		c.scheduler.MarkReplaced(id)
-	}
-	if b.ListAge >= 0 && !b.Leaving {
-		c.listSchedule.recordPeerRead(now.Add(-b.ListAge))
-	}
-	c.listSchedule.recordPeerChange(b.ListOffset)
-	c.refreshIfNewer(now, b.Version)
-}
-
-func sameAddress(a peerAddress, b netip.AddrPort) bool {
-	return a.Port == int(b.Port()) && a.IP.Equal(b.Addr().AsSlice())
-}
-
-// refreshIfNewer triggers a read of the declarations if a peer has a newer version. Triggers are rate limited, so that
-// beacons do not cause a storm of reads while the store does not respond.
-func (c *Controller) refreshIfNewer(now time.Time, version uint64) {
-	table := c.table.Load()
-	if table != nil && version <= table.Version || now.Sub(c.refreshedAt) < minRefreshInterval {
-		return
-	}
-	c.refreshedAt = now
-	c.refreshDeclarations()
-}
-
 // updatePeersIfDue updates what follows from the state of all peers. Each beacon is an event, so doing this for each
 // event would take a time that grows with the square of the number of VMs.
 func (c *Controller) updatePeersIfDue(now time.Time) {
@@ -231,43 +151,3 @@
 		c.log.Warn("vm-silent", zap.String("Peer", name), zap.Duration("Silence", since), zap.Bool("Leaving", p.leaving))
 	}
 }
-
-func (c *Controller) sendBeaconIfDue(now time.Time) {
-	if c.beacon.dueIn(now, len(c.peers)) > 0 {
-		return
-	}
-	var to []peerAddress
-	for _, p := range c.peers {
-		to = append(to, p.address)
-	}
-	c.beacon.sequence++
-	c.beacon.sentAt, c.beacon.dirty, c.beacon.tokensSpent = now, false, false
-	if len(to) == 0 {
-		return
-	}
-	version := uint64(0)
-	if table := c.table.Load(); table != nil {
-		version = table.Version
-	}
-	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
-		Leaving: c.leaving.Load(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
-		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
-		ListAge: -time.Millisecond, ListOffset: c.listSchedule.changedOffset}
-	c.quarantine.Expire(now)
-	c.limits.Expire(now)
-	c.metrics.QuarantinedParts.Set(float64(c.quarantine.QuarantinedCount()))
-	if now.Before(c.advertiseLevelsUntil) {
-		b.BucketLevels = c.quotas.Levels(now)
-	}
-	if !c.listSchedule.readAt.IsZero() {
-		b.ListAge = now.Sub(c.listSchedule.readAt)
-	}
-	if err := c.sendBeacon(b, to); err != nil {
-		c.log.Debug("beacon-not-sent", zap.Error(err))
-	}
-}
-
-// WithBeaconSender sets the function that sends a beacon to a list of peers.
-func WithBeaconSender(send func(peer.Beacon, []peerAddress) error) Option {
-	return func(c *Controller) { c.sendBeacon = send }
-}
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -1,14 +1,11 @@
 package peer
 
 import (
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/netip"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/net/ipv4"
 
 	"github.com/cassiabridge/cassiabridge/placement"
@@ -61,95 +58,6 @@
 	ListOffset uint64
 }
 
-type beaconMessage struct {
-	VM, Incarnation string
-	Sequence        uint64
-	UptimeMillis    int64
-	Version         uint64
-	Leaving         bool                      `json:",omitempty"`
-	Loads           map[string][2]int         `json:",omitempty"`
-	Waiting         map[string]int            `json:",omitempty"`
-	Spent           map[string]float64        `json:",omitempty"`
-	Levels          map[string]float64        `json:",omitempty"`
-	Replaced        []string                  `json:",omitempty"`
-	Unreachable     []string                  `json:",omitempty"`
-	Suspects        map[string]suspectMessage `json:",omitempty"`
-	Limits          map[string]limitMessage   `json:",omitempty"`
-	Trials          []string                  `json:",omitempty"`
-	ListReadMillis  int64
-	ListChanged     uint64
-}
-
-type limitMessage struct {
-	Limit     float64
-	AgeMillis int64
-}
-
-type suspectMessage struct {
-	Generation uint64   `json:",omitempty"`
-	Ends       []string `json:",omitempty"`
-	Moments    int      `json:",omitempty"`
-	Sound      bool     `json:",omitempty"`
-	Trials     int      `json:",omitempty"`
-}
-
-func encodeBeacon(b Beacon) ([]byte, error) {
-	m := beaconMessage{VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version,
-		Leaving: b.Leaving, Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas, Loads: make(map[string][2]int, len(b.ReplicaLoads)),
-		ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, Suspects: make(map[string]suspectMessage, len(b.Suspects)), Trials: b.TrialParts,
-		Limits: make(map[string]limitMessage, len(b.ReplicaLimits))}
-	for id, report := range b.ReplicaLimits {
-		m.Limits[id] = limitMessage{report.Limit, report.Age.Milliseconds()}
-	}
-	for part, evidence := range b.Suspects {
-		m.Suspects[part] = suspectMessage(evidence)
-	}
-	for id, load := range b.ReplicaLoads {
-		m.Loads[id] = [2]int{load.Requests, load.Tokens}
-	}
-	request := jsonrpc2.Request{Method: methodBeacon, Notif: true}
-	if err := request.SetParams(m); err != nil {
-		return nil, err
-	}
-	return json.Marshal(&request)
-}
-
-func decodeBeacon(data []byte) (Beacon, error) {
-	var request jsonrpc2.Request
-	if err := json.Unmarshal(data, &request); err != nil {
-		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
-	}
-	if request.Method != methodBeacon || request.Params == nil {
-		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: fmt.Errorf("unexpected method %q or missing parameters", request.Method)}
-	}
-	var m beaconMessage
-	if err := json.Unmarshal(*request.Params, &m); err != nil {
-		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
-	}
-	if m.VM == "" {
-		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: errors.New("field VM is empty")}
-	}
-	b := Beacon{VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: time.Duration(m.UptimeMillis) * time.Millisecond,
-		Version: m.Version, Leaving: m.Leaving, QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable, ReplicaLoads: make(map[string]placement.Load, len(m.Loads)),
-		ListAge: time.Duration(m.ListReadMillis) * time.Millisecond, ListOffset: m.ListChanged, TrialParts: m.Trials}
-	if len(m.Limits) > 0 {
-		b.ReplicaLimits = make(map[string]quota.LimitReport, len(m.Limits))
-	}
-	for id, limit := range m.Limits {
-		b.ReplicaLimits[id] = quota.LimitReport{Limit: limit.Limit, Age: time.Duration(limit.AgeMillis) * time.Millisecond}
-	}
-	if len(m.Suspects) > 0 {
-		b.Suspects = make(map[string]quarantine.Evidence, len(m.Suspects))
-	}
-	for part, suspect := range m.Suspects {
-		b.Suspects[part] = quarantine.Evidence(suspect)
-	}
-	for id, load := range m.Loads {
-		b.ReplicaLoads[id] = placement.Load{Requests: load[0], Tokens: load[1]}
-	}
-	return b, nil
-}
-
 // BeaconSocket sends and receives beacons over UDP.
 type BeaconSocket struct {
 	conn *net.UDPConn
--- /dev/null
+++ b/peer/beacon_message.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/quarantine"
+	"github.com/cassiabridge/cassiabridge/quota"
+)
+
+// beaconMessage is the wire format of a Beacon: the parameters of a JSON-RPC notification.
+type beaconMessage struct {
+	VM, Incarnation string
+	Sequence        uint64
+	UptimeMillis    int64
+	Version         uint64
+	Leaving         bool                      `json:",omitempty"`
+	Loads           map[string][2]int         `json:",omitempty"`
+	Waiting         map[string]int            `json:",omitempty"`
+	Spent           map[string]float64        `json:",omitempty"`
+	Levels          map[string]float64        `json:",omitempty"`
+	Replaced        []string                  `json:",omitempty"`
+	Unreachable     []string                  `json:",omitempty"`
+	Suspects        map[string]suspectMessage `json:",omitempty"`
+	Limits          map[string]limitMessage   `json:",omitempty"`
+	Trials          []string                  `json:",omitempty"`
+	ListReadMillis  int64
+	ListChanged     uint64
+}
+
+type limitMessage struct {
+	Limit     float64
+	AgeMillis int64
+}
+
+type suspectMessage struct {
+	Generation uint64   `json:",omitempty"`
+	Ends       []string `json:",omitempty"`
+	Moments    int      `json:",omitempty"`
+	Sound      bool     `json:",omitempty"`
+	Trials     int      `json:",omitempty"`
+}
+
+// mapValues returns a map with the same keys and the converted values, or nil if m is empty.
+func mapValues[A, B any](m map[string]A, convert func(A) B) map[string]B {
+	if len(m) == 0 {
+		return nil
+	}
+	converted := make(map[string]B, len(m))
+	for key, value := range m {
+		converted[key] = convert(value)
+	}
+	return converted
+}
+
+func newBeaconMessage(b Beacon) beaconMessage {
+	return beaconMessage{
+		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Leaving: b.Leaving,
+		Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas,
+		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset,
+		Loads:    mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
+		Suspects: mapValues(b.Suspects, func(e quarantine.Evidence) suspectMessage { return suspectMessage(e) }),
+		Limits:   mapValues(b.ReplicaLimits, func(r quota.LimitReport) limitMessage { return limitMessage{r.Limit, r.Age.Milliseconds()} }),
+	}
+}
+
+func (m beaconMessage) beacon() Beacon {
+	return Beacon{
+		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, Leaving: m.Leaving,
+		QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable,
+		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged,
+		ReplicaLoads: mapValues(m.Loads, func(load [2]int) placement.Load { return placement.Load{Requests: load[0], Tokens: load[1]} }),
+		Suspects:     mapValues(m.Suspects, func(s suspectMessage) quarantine.Evidence { return quarantine.Evidence(s) }),
+		ReplicaLimits: mapValues(m.Limits, func(l limitMessage) quota.LimitReport {
+			return quota.LimitReport{Limit: l.Limit, Age: millis(l.AgeMillis)}
+		}),
+	}
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func encodeBeacon(b Beacon) ([]byte, error) {
+	request := jsonrpc2.Request{Method: methodBeacon, Notif: true}
+	if err := request.SetParams(newBeaconMessage(b)); err != nil {
+		return nil, err
+	}
+	return json.Marshal(&request)
+}
+
+func decodeBeacon(data []byte) (Beacon, error) {
+	var request jsonrpc2.Request
+	if err := json.Unmarshal(data, &request); err != nil {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
+	}
+	if request.Method != methodBeacon || request.Params == nil {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: fmt.Errorf("unexpected method %q or missing parameters", request.Method)}
+	}
+	var m beaconMessage
+	if err := json.Unmarshal(*request.Params, &m); err != nil {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
+	}
+	if m.VM == "" {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: errors.New("field VM is empty")}
+	}
+	return m.beacon(), nil
+}
