Expire limits and evidence at a VM without peers too

What callers would have seen: at a VM alone, a replica that had once named a limit and then got no more requests would have kept it for good, and a part suspected once would have stayed so. Cause: both were expired only where a beacon is sent, behind the return for a VM without peers. Ruled out: the same for the flag that skips answers without a limit, which now follows. Change: expireHints runs with the beacon's schedule, sent or not. Measured: TestLoneVMNeverForgetsLimitsAndEvidence failed before and passes. Conclusion: mended.

--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -118,17 +118,23 @@
 	}
 	c.beacon.sequence++
 	c.beacon.sentAt, c.beacon.dirty, c.beacon.tokensSpent = now, false, false
+	c.expireHints(now)
 	if len(to) == 0 {
 		return
 	}
-	c.quarantine.Expire(now)
-	c.limits.Expire(now)
-	c.metrics.QuarantinedParts.Set(float64(c.quarantine.QuarantinedCount()))
 	if err := c.sendBeacon(c.newBeacon(now), to); err != nil {
 		c.log.Debug("beacon-not-sent", zap.Error(err))
 	}
 }
 
+// expireHints drops evidence and limits that are too old.
+func (c *Controller) expireHints(now time.Time) {
+	c.quarantine.Expire(now)
+	c.metrics.QuarantinedParts.Set(float64(c.quarantine.QuarantinedCount()))
+	c.limits.Expire(now)
+	c.limitsNamed.Store(c.limits.Any())
+}
+
 // newBeacon returns a beacon with the state of this VM.
 func (c *Controller) newBeacon(now time.Time) peer.Beacon {
 	version := uint64(0)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -60,3 +60,19 @@
 		assert.Equal(t, quarantine.Refuse, verdict(restarted))
 	})
 }
+
+func TestLoneVMNeverForgetsLimitsAndEvidence(t *testing.T) {
+	c := newTestController(t)
+	endReplicas(c, "bad", 1, false)
+	c.observeLimit(testReplica("0"), ResponseInfo{RequestLimit: 2}, c.clock.now())
+	c.flush()
+	known := func() bool {
+		return ask(c.Controller, func() bool { return c.limits.Any() || len(c.quarantine.Report(c.now())) > 0 })
+	}
+	require.True(t, known())
+	for range 400 {
+		c.clock.advance(time.Second)
+		c.flush()
+	}
+	assert.False(t, known())
+}
