--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -12,15 +12,10 @@
 
 // Parameters of a simulated fleet whose engines end under a part of a prompt.
 const (
-	simulationVMs      = 7
-	simulationEngines  = 7
 	simulationStep     = 10 * time.Millisecond
 	simulationDuration = 60 * time.Second
-	soundRate          = 10.0
-	harmfulRate        = 3.0
 	harmfulFrom        = 5 * time.Second
 	answerPeriod       = 4 * time.Second
-	reportInterval     = 50 * time.Millisecond
 	reportLoss         = 0.1
 	maxEndDelay        = 400 * time.Millisecond
 	minRestartDelay    = time.Second
@@ -29,9 +24,23 @@
 	settlePeriod = 6 * time.Second
 )
 
+// fleetSize holds the numbers of VMs and engines, the requests per second and the time between two reports of a VM.
+type fleetSize struct {
+	vms, engines           int
+	soundRate, harmfulRate float64
+	reportInterval         time.Duration
+	seeds                  uint64
+}
+
+var (
+	smallFleet = fleetSize{vms: 7, engines: 7, soundRate: 10, harmfulRate: 3, reportInterval: 50 * time.Millisecond, seeds: 20}
+	largeFleet = fleetSize{vms: 85, engines: 30, soundRate: 44, harmfulRate: 10, reportInterval: 400 * time.Millisecond, seeds: 2}
+)
+
 // fleetScenario describes the requests and the ends of engines that have other causes.
 type fleetScenario struct {
 	name string
+	size fleetSize
 	// firstParts is the number of first parts that sound requests have. Harmful ones have the first of them.
 	firstParts int
 	// harmful is whether there are requests with the harmful part.
@@ -77,8 +86,8 @@
 }
 
 func newFleetSimulation(scenario fleetScenario, seed uint64) *fleetSimulation {
-	f := &fleetSimulation{scenario: scenario, random: rand.New(rand.NewPCG(seed, 7)), upAt: make([]time.Duration, simulationEngines), lifetimes: make([]int, simulationEngines)}
-	for range simulationVMs {
+	f := &fleetSimulation{scenario: scenario, random: rand.New(rand.NewPCG(seed, 7)), upAt: make([]time.Duration, scenario.size.engines), lifetimes: make([]int, scenario.size.engines)}
+	for range scenario.size.vms {
 		f.trackers = append(f.trackers, NewTracker())
 	}
 	return f
@@ -87,14 +96,14 @@
 func (f *fleetSimulation) run() fleetResult {
 	for now := time.Duration(0); now < simulationDuration; now += simulationStep {
 		f.report(now)
-		if f.random.Float64() < soundRate*simulationStep.Seconds() {
+		if f.random.Float64() < f.scenario.size.soundRate*simulationStep.Seconds() {
 			f.submit(now, false)
 		}
-		if f.scenario.harmful && now > harmfulFrom && f.random.Float64() < harmfulRate*simulationStep.Seconds() {
+		if f.scenario.harmful && now > harmfulFrom && f.random.Float64() < f.scenario.size.harmfulRate*simulationStep.Seconds() {
 			f.submit(now, true)
 		}
 		if w := f.scenario.waveInterval; w > 0 && now > harmfulFrom && now%w == 0 {
-			for _, engine := range f.random.Perm(simulationEngines)[:f.scenario.waveEngines] {
+			for _, engine := range f.random.Perm(f.scenario.size.engines)[:f.scenario.waveEngines] {
 				f.end(now, engine)
 			}
 		}
@@ -106,8 +115,8 @@
 
 // report delivers the evidence of the VMs whose turn it is.
 func (f *fleetSimulation) report(now time.Duration) {
-	steps := int(reportInterval / simulationStep)
-	for n := int(now/simulationStep) % steps; n < simulationVMs; n += steps {
+	steps := int(f.scenario.size.reportInterval / simulationStep)
+	for n := int(now/simulationStep) % steps; n < f.scenario.size.vms; n += steps {
 		report, trials := f.trackers[n].Report(at(now)), f.trackers[n].OwnTrials()
 		for m, peer := range f.trackers {
 			if m != n && f.random.Float64() >= reportLoss {
@@ -133,7 +142,7 @@
 		first = fmt.Sprint("first-", f.random.IntN(f.scenario.firstParts))
 		f.result.submitted++
 	}
-	r := &simulatedRun{vm: f.random.IntN(simulationVMs), parts: []string{first}, harmful: harmful, startAt: now, endsAt: now + answerPeriod}
+	r := &simulatedRun{vm: f.random.IntN(f.scenario.size.vms), parts: []string{first}, harmful: harmful, startAt: now, endsAt: now + answerPeriod}
 	if harmful {
 		r.parts = append(r.parts, "bad")
 		r.endsAt = now + time.Duration(f.random.Float64()*float64(maxEndDelay))
@@ -222,17 +231,19 @@
 // TestHarmfulPartsAcrossVMs plays the requests of a fleet whose engines end under a part, and plain ends of engines.
 func TestHarmfulPartsAcrossVMs(t *testing.T) {
 	scenarios := []fleetScenario{
-		{name: "one first part for all", firstParts: 1, harmful: true},
-		{name: "a first part with a tenth of the sound requests", firstParts: 10, harmful: true},
-		{name: "a first part that few sound requests have", firstParts: 100, harmful: true},
-		{name: "engines that end for other causes too", firstParts: 10, harmful: true, waveInterval: 3 * time.Second, waveEngines: 2},
-		{name: "engines that end one by one, without a harmful part", firstParts: 1, waveInterval: time.Second, waveEngines: 1},
-		{name: "half of the engines end again and again, without a harmful part", firstParts: 4, waveInterval: 2500 * time.Millisecond, waveEngines: 4},
-		{name: "all engines end twice a minute, without a harmful part", firstParts: 1, waveInterval: 30 * time.Second, waveEngines: 7},
+		{size: smallFleet, name: "one first part for all", firstParts: 1, harmful: true},
+		{size: smallFleet, name: "a first part with a tenth of the sound requests", firstParts: 10, harmful: true},
+		{size: smallFleet, name: "a first part that few sound requests have", firstParts: 100, harmful: true},
+		{size: smallFleet, name: "engines that end for other causes too", firstParts: 10, harmful: true, waveInterval: 3 * time.Second, waveEngines: 2},
+		{size: largeFleet, name: "a large fleet with a first part that a tenth has", firstParts: 10, harmful: true},
+		{size: smallFleet, name: "engines that end one by one, without a harmful part", firstParts: 1, waveInterval: time.Second, waveEngines: 1},
+		{size: smallFleet, name: "half of the engines end again and again, without a harmful part", firstParts: 4, waveInterval: 2500 * time.Millisecond, waveEngines: 4},
+		{size: smallFleet, name: "all engines end twice a minute, without a harmful part", firstParts: 1, waveInterval: 30 * time.Second, waveEngines: 7},
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
-			for seed := range uint64(20) {
+			t.Parallel()
+			for seed := range scenario.size.seeds {
 				result := newFleetSimulation(scenario, seed).run()
 				t.Logf("seed %d: %+v", seed, result)
 				if scenario.harmful {
