--- a/integration/site_harmful_prompts_test.go
+++ b/integration/site_harmful_prompts_test.go
@@ -37,35 +37,6 @@
 	return r
 }
 
-// sentRequest is a request that was sent in the background, with its response.
-type sentRequest struct {
-	sentAt   time.Time
-	response siteResponse
-}
-
-// sendRepeatedly sends the requests that newRequest returns to all VMs by turns until the time is over, and returns them
-// when all have ended.
-func (s *site) sendRepeatedly(interval, duration time.Duration, newRequest func(n int) siteRequest) []sentRequest {
-	var (
-		mu   sync.Mutex
-		sent []sentRequest
-		wg   sync.WaitGroup
-	)
-	start := time.Now()
-	for n := 0; time.Since(start) < duration; n++ {
-		wg.Go(func() {
-			r := sentRequest{sentAt: time.Now()}
-			r.response = s.send(s.vms[n%len(s.vms)], newRequest(n))
-			mu.Lock()
-			defer mu.Unlock()
-			sent = append(sent, r)
-		})
-		time.Sleep(interval)
-	}
-	wg.Wait()
-	return sent
-}
-
 // TestSitePromptPartEndsEngineAfterEngine guards against a part of the prompt that is sent to one engine after another
 // and ends each.
 func TestSitePromptPartEndsEngineAfterEngine(t *testing.T) {
@@ -92,20 +63,12 @@
 	arrivals := engines.harmfulArrivals(found.Add(findPeriod))
 	t.Logf("%d engines ended, %d requests reached engines afterwards", len(ends), arrivals)
 	assert.LessOrEqual(t, arrivals, toleratedArrivals)
-	served, later := 0, 0
-	for _, r := range sound {
-		if r.sentAt.After(found.Add(2 * findPeriod)) {
-			later++
-			if r.response.complete && r.response.status == http.StatusOK {
-				served++
-			}
-		}
-	}
+	served, later := countServed(sound, found.Add(2*findPeriod))
 	t.Logf("%d of %d sound requests were served", served, later)
 	assert.Greater(t, later, 20)
 	assert.GreaterOrEqual(t, served, later/2, "requests that share the first part and the account are served")
 	for _, r := range harmful {
-		assert.False(t, r.response.complete && r.response.status == http.StatusOK)
+		assert.False(t, r.served())
 		if r.response.status == http.StatusServiceUnavailable {
 			assert.Empty(t, s.runsOf(r.response.attempt), "a refusal is truly not run")
 		}
--- a/integration/site_request_limits_test.go
+++ b/integration/site_request_limits_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -87,13 +86,8 @@
 			namedAt := time.Now()
 			sent := s.sendRepeatedly(25*time.Millisecond, limitSettlePeriod+2*limitWindow, scenario.request)
 			assertWithinLimit(t, s, scenario.limited, scenario.rate, namedAt)
-			served := 0
-			for _, r := range sent {
-				if r.response.complete && r.response.status == http.StatusOK {
-					served++
-				}
-			}
-			assert.GreaterOrEqual(t, served*100, len(sent)*99, "the other replica has room")
+			served, total := countServed(sent, namedAt)
+			assert.GreaterOrEqual(t, served*100, total*99, "the other replica has room")
 			s.replicas[scenario.limited].SetFaults(standin.ReplicaFaults{})
 			endedAt := time.Now()
 			s.sendRepeatedly(12*time.Millisecond, limitSettlePeriod+limitWindow, scenario.request)
