Report suspected parts while they are news only

What callers would have seen: slower VMs on large fleets after engines ended. Ruled out: not reporting suspected parts at all, since several VMs see an end each. Change: a part that is only suspected or was cleared is reported for 5 s after a change, a quarantined one always.

--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -10,8 +10,9 @@
 const (
 	// maxSharedParts bounds the parts in a report to other VMs.
 	maxSharedParts = 24
-	// clearedSharePeriod is how long reports name a part that was cleared.
-	clearedSharePeriod = 5 * time.Second
+	// sharePeriod is how long reports name a part that is not quarantined after a change. A fleet sends its reports from
+	// each VM to all others several times a second, and plain ends of replicas leave many suspected parts.
+	sharePeriod = 5 * time.Second
 )
 
 // OwnTrials returns the sorted parts of which this VM runs a trial.
@@ -35,11 +36,12 @@
 	t.peerTrials[vm] = parts
 }
 
-// Report returns the evidence to send to the other VMs: on the parts that changed last, whichever VM found it.
+// Report returns the evidence to send to the other VMs, whichever VM found it: on quarantined parts, and on those that have
+// changed lately.
 func (t *Tracker) Report(now time.Time) map[string]Evidence {
 	var parts []string
 	for part, s := range t.suspects {
-		if len(s.ends) > 0 || now.Sub(s.changedAt) < clearedSharePeriod {
+		if s.quarantined() || now.Sub(s.changedAt) < sharePeriod {
 			parts = append(parts, part)
 		}
 	}
