Log what ends the body of an upstream and of the answer to the caller

Change: exchange names the framing of a response (Length, Chunks, Connection) in place of a flag; request-ended and stream-broken log it, and that of the answer to the caller. Ruled out: nothing yet.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -60,8 +60,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known.
 	Length int64
-	// EndsWithConn is whether only the end of the connection ends the body, so that a truncated body may look complete.
-	EndsWithConn bool
+	// Framing says what ends the body.
+	Framing Framing
 
 	body      io.ReadCloser
 	conn      *conn
@@ -213,8 +213,8 @@
 		return nil, &Error{Op: op, Kind: ErrInDoubt, Err: cause(ctx, readErr)}
 	}
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
-		EndsWithConn: httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0,
-		body:         httpResp.Body, conn: connection, client: c, addr: addr, stop: stop, write: write,
+		Framing: framingOf(httpResp),
+		body:    httpResp.Body, conn: connection, client: c, addr: addr, stop: stop, write: write,
 		cause: func(err error) error { return cause(ctx, err) }}
 	resp.keepAlive = !httpResp.Close && connection.applyKeepAlive(c.now(), httpResp.Header)
 	return resp, nil
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -65,7 +65,7 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case err == io.EOF && resp.EndsWithConn && (len(pending) > 0 || !started):
+		case err == io.EOF && resp.Framing == exchange.FramedByConn && (len(pending) > 0 || !started):
 			return lastID, resp.TruncatedError()
 		case err == io.EOF && len(pending) > 0:
 			// The upstream's response is complete, so its unterminated last event is relayed too.
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -230,7 +230,7 @@
 		return reqErr, attempt.End
 	}
 	defer result.resp.Close()
-	r.logFields = append(r.logFields, zap.String("Replica", from.ID))
+	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", result.resp.Framing))
 	if !r.w.started {
 		r.w.start(result.resp.Status, s.protocol.ResponseHeaders(result.resp.Header), -1)
 	}
@@ -244,7 +244,8 @@
 	case errors.As(err, &own):
 		return own, attempt.End
 	}
-	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", lastID), zap.Error(err))
+	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", lastID), zap.Stringer("Framing", result.resp.Framing),
+		zap.Error(err))
 	s.control.recordFailure(from, false)
 	if ctx.Err() == nil {
 		s.recordBroken(r, from, r.answer.lasted)
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -19,6 +19,10 @@
 	// started is set once the status and headers have been written.
 	started bool
 	status  int
+	// chunks is whether the caller understands bodies in chunks.
+	chunks bool
+	// framing says what ends the body that the caller receives.
+	framing exchange.Framing
 	// bytes counts the body bytes written so far.
 	bytes int64
 	// onFirstByte is called before the first write of the body. It may be nil.
@@ -44,8 +48,14 @@
 		header["Content-Type"] = nil
 	}
 	header.Del("Content-Length")
-	if length >= 0 {
+	switch {
+	case length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
+		w.framing = exchange.FramedByLength
+	case w.chunks:
+		w.framing = exchange.FramedByChunks
+	default:
+		w.framing = exchange.FramedByConn
 	}
 	w.started, w.status = true, status
 	w.WriteHeader(status)
@@ -81,7 +91,7 @@
 				return &Error{Op: "write response", Kind: ErrCallerGone, Err: writeErr}
 			}
 		}
-		if err == io.EOF && stream && resp.EndsWithConn && tail.insideEvent() {
+		if err == io.EOF && stream && resp.Framing == exchange.FramedByConn && tail.insideEvent() {
 			return resp.TruncatedError()
 		}
 		if err == io.EOF {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -91,7 +91,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, httpRequest *http.Request) {
 	r := &request{http: httpRequest, arrivedAt: s.control.now(), info: s.protocol.ReadRequestInfo(httpRequest.Header), target: requestTarget(httpRequest)}
-	r.w = &responseWriter{ResponseWriter: w, controller: http.NewResponseController(w)}
+	r.w = &responseWriter{ResponseWriter: w, controller: http.NewResponseController(w), chunks: httpRequest.ProtoAtLeast(1, 1)}
 	defer s.inFlight.add(r)()
 	if s.control.Leaving() {
 		w.Header().Set("Connection", "close")
@@ -251,6 +251,9 @@
 		fields = append(fields, zap.String("Account", r.account.Name))
 	}
 	fields = append(fields, r.logFields...)
+	if r.w.started {
+		fields = append(fields, zap.Stringer("CallerFraming", r.w.framing))
+	}
 	fields = append(fields, zap.Duration("Took", took))
 	if reqErr == nil {
 		fields = append(fields, zap.Int("Status", r.w.status), zap.Int64("Bytes", r.w.bytes))
