--- a/standin/replica.go
+++ b/standin/replica.go
@@ -41,7 +41,9 @@
 	CutAfter int
 	// RequestLimit is the number of requests per second that all answers name, as text, or empty.
 	RequestLimit string
-	// Unframed streams have neither a length nor chunks, and end with their connection.
+	// CutAnswer ends an answer of a plain service in its middle.
+	CutAnswer bool
+	// Unframed answers have neither a length nor chunks, and end with their connection.
 	Unframed bool
 	// Silent neither runs nor answers the request.
 	Silent bool
@@ -264,7 +266,21 @@
 	if faults.Fail {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	_, _ = io.WriteString(w, ServiceAnswer(run.Attempt))
+	return writeServiceAnswer(w, run.Attempt, faults)
+}
+
+// writeServiceAnswer writes the answer of a plain service and reports whether it is whole.
+func writeServiceAnswer(w http.ResponseWriter, attempt string, faults ReplicaFaults) bool {
+	answer := ServiceAnswer(attempt)
+	if faults.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	if faults.CutAnswer {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush()
+		return false
+	}
+	_, _ = io.WriteString(w, answer)
 	return true
 }
 
