Reset the connection of a broken answer that only the connection ends

What callers saw: a caller of HTTP/1.0 got every broken answer without a length, those that we know to be broken too, as a body that ends in an orderly way. Cause: such a body ends with its connection; we broke an answer off by closing it, which is an orderly end. Evidence: TestSiteBrokenAnswerLooksCompleteToAnHTTP10Caller failed in its five subtests before and passes now. Change: while such a body is under way its connection is set to end with a reset, and to end orderly only once the body is complete. So every end before that, also the kill of the process, is a reset, without a branch for each. Ruled out: a reset at the abort alone, which leaves the kill of a VM (fifth subtest). Measured: see above; TestSiteHTTP10CallerGetsWholeAnswers passes before and after. Conclusion: mended.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -48,6 +49,33 @@
 	deadline time.Time
 }
 
+// callerConnKey is the key of a request's connection in its context.
+type callerConnKey struct{}
+
+// withCallerConn is the http.Server.ConnContext hook. It makes a connection available to the requests on it.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// callerConnOf returns the connection of a request, or nil if it did not come through ListenCallers.
+func callerConnOf(r *http.Request) *callerConn {
+	c, _ := r.Context().Value(callerConnKey{}).(*callerConn)
+	return c
+}
+
+// setResetOnClose sets whether the end of the connection, also by the end of the process, is a reset. Otherwise it is an
+// orderly close.
+func (c *callerConn) setResetOnClose(reset bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if reset {
+		return tcp.SetLinger(0)
+	}
+	return tcp.SetLinger(-1)
+}
+
 // callerListener accepts connections and registers them with conns.
 type callerListener struct {
 	net.Listener
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -23,7 +23,7 @@
 func (s *Server) ListenCallers(addr string, failed chan<- error) (stop func(context.Context) error, err error) {
 	conns := newCallerConns(s.connLimits)
 	s.control.onDeclarations(conns.applyIdleLimit)
-	server := &http.Server{Handler: s, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState}
+	server := &http.Server{Handler: s, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState, ConnContext: withCallerConn}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrUnreadable, Err: err}
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -19,6 +19,8 @@
 	// started is set once the status and headers have been written.
 	started bool
 	status  int
+	// setResetOnClose sets whether the caller's connection ends with a reset. It may be nil.
+	setResetOnClose func(reset bool)
 	// chunks is whether the caller understands bodies in chunks.
 	chunks bool
 	// framing says what ends the body that the caller receives.
@@ -58,9 +60,21 @@
 		w.framing = exchange.FramedByConn
 	}
 	w.started, w.status = true, status
+	w.protectEnd(true)
 	w.WriteHeader(status)
 }
 
+// finish marks the response as complete.
+func (w *responseWriter) finish() { w.protectEnd(false) }
+
+// protectEnd makes the connection of a body that it ends close with a reset until the body is complete, so that the
+// caller can tell a truncated body from a complete one.
+func (w *responseWriter) protectEnd(truncated bool) {
+	if w.framing == exchange.FramedByConn && w.setResetOnClose != nil {
+		w.setResetOnClose(truncated)
+	}
+}
+
 // writeAndFlush writes a part of the body and flushes it, so that streams are not delayed by buffering.
 func (w *responseWriter) writeAndFlush(p []byte) error {
 	if w.bytes == 0 && w.onFirstByte != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -92,6 +92,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, httpRequest *http.Request) {
 	r := &request{http: httpRequest, arrivedAt: s.control.now(), info: s.protocol.ReadRequestInfo(httpRequest.Header), target: requestTarget(httpRequest)}
 	r.w = &responseWriter{ResponseWriter: w, controller: http.NewResponseController(w), chunks: httpRequest.ProtoAtLeast(1, 1)}
+	if conn := callerConnOf(httpRequest); conn != nil {
+		r.w.setResetOnClose = func(reset bool) { s.setResetOnClose(r, conn, reset) }
+	}
 	defer s.inFlight.add(r)()
 	if s.control.Leaving() {
 		w.Header().Set("Connection", "close")
@@ -99,6 +102,7 @@
 	reqErr := s.serve(r)
 	s.recordOutcome(r, reqErr)
 	if reqErr == nil {
+		r.w.finish()
 		return
 	}
 	if r.w.started {
@@ -108,6 +112,13 @@
 	writeError(w, reqErr)
 }
 
+// setResetOnClose sets whether the connection of a request ends with a reset.
+func (s *Server) setResetOnClose(r *request, conn *callerConn, reset bool) {
+	if err := conn.setResetOnClose(reset); err != nil {
+		s.log.Info("connection-end-not-set", zap.String("Request", r.info.Attempt), zap.Bool("Reset", reset), zap.Error(err))
+	}
+}
+
 // requestTarget returns the path and query exactly as the caller sent them.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
