Pass on an answer that only its connection ends with no other framing

What callers saw: an answer that was framed as complete and was not. An upstream's body with neither a length nor chunks reached callers in chunks with their end, also where the upstream had stopped in its middle. Cause: net/http frames a body of unknown length by itself, and so adds a claim of completeness that the upstream never made. Evidence: TestSiteAnswerWithoutFramingGainsOne failed in three of four subtests before and passes now. Change: the answer to the caller ends with its connection where the upstream's did, with a reset where we know that it is broken. Conclusion: mended; the price is the caller's connection.

--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -232,7 +232,7 @@
 	defer result.resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", result.resp.Framing))
 	if !r.w.started {
-		r.w.start(result.resp.Status, s.protocol.ResponseHeaders(result.resp.Header), -1)
+		r.w.start(result.resp.Status, s.protocol.ResponseHeaders(result.resp.Header), result.resp.Framing, -1)
 	}
 	lastID, err := r.w.copyEvents(result.resp, g.lastEventID)
 	g.lastEventID = lastID
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -39,8 +39,9 @@
 }
 
 // start writes the status and headers of an upstream's response. length is the length of the body in bytes, or -1 if
-// unknown.
-func (w *responseWriter) start(status int, h http.Header, length int64) {
+// unknown. A body that only the end of the upstream's connection ends gets no other framing here: that would claim that
+// it is complete.
+func (w *responseWriter) start(status int, h http.Header, upstream exchange.Framing, length int64) {
 	header := w.Header()
 	for name, values := range h {
 		header[name] = values
@@ -50,20 +51,30 @@
 		header["Content-Type"] = nil
 	}
 	header.Del("Content-Length")
+	w.framing = w.callerFraming(upstream, length)
 	switch {
-	case length >= 0:
+	case w.framing == exchange.FramedByLength:
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
-		w.framing = exchange.FramedByLength
-	case w.chunks:
-		w.framing = exchange.FramedByChunks
-	default:
-		w.framing = exchange.FramedByConn
+	case w.framing == exchange.FramedByConn && w.chunks:
+		// This keeps net/http from sending chunks.
+		header.Set("Transfer-Encoding", "identity")
 	}
 	w.started, w.status = true, status
 	w.protectEnd(true)
 	w.WriteHeader(status)
 }
 
+// callerFraming returns what ends the body that the caller receives.
+func (w *responseWriter) callerFraming(upstream exchange.Framing, length int64) exchange.Framing {
+	switch {
+	case length >= 0:
+		return exchange.FramedByLength
+	case upstream == exchange.FramedByConn || !w.chunks:
+		return exchange.FramedByConn
+	}
+	return exchange.FramedByChunks
+}
+
 // finish marks the response as complete.
 func (w *responseWriter) finish() { w.protectEnd(false) }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -207,7 +207,7 @@
 func (s *Server) relayResponse(r *request, from placement.Replica, resp *exchange.Response) *Error {
 	defer resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", resp.Framing))
-	r.w.start(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Length)
+	r.w.start(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, resp.Length)
 	stream := r.route.Stream && resp.Status == http.StatusOK
 	return relayError(r.w.copyBody(resp, stream))
 }
