Judge the end of a stream without framing by its lines, with CR, comments and retry times

What callers saw: a whole stream without framing was broken off where its lines end with CR alone, or where a comment or a retry time follows its last event. Change: an event ends with two ends of lines of any kind; a rest of whole comments and retry times is no event. Only streams without framing are followed now, not every body. Ruled out: an end between CR and LF as the end of an event while the stream goes on (TestCompleteEvents has the case). Conclusion: mended.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"slices"
 
 	"github.com/cassiabridge/cassiabridge/exchange"
 )
@@ -11,25 +10,46 @@
 // maxEventBytes bounds the size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// eventTerminators are the byte sequences that end a server-sent event: the line feed of the last line and an empty
-// line. A line ends with LF or CRLF.
-var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+// eventTerminators are the byte sequences that end a server-sent event: the end of the last line and an empty line. A line
+// ends with LF, CRLF or CR.
+var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r"), []byte("\r\r\n")}
 
-// eventTail follows the end of a stream, to tell whether it is between two events.
+// eventTail follows the end of an event stream that only its connection ends, to tell whether the stream is truncated.
 type eventTail struct {
-	last []byte
+	// started is whether an event has been complete, and rest holds the bytes after the last complete event.
+	started bool
+	rest    []byte
 }
 
 // add adds the next bytes of the stream.
 func (t *eventTail) add(p []byte) {
-	longest := len(eventTerminators[len(eventTerminators)-1])
-	t.last = append(t.last, p[max(0, len(p)-longest):]...)
-	t.last = t.last[max(0, len(t.last)-longest):]
+	t.rest = append(t.rest, p...)
+	if end := completeEventsLen(t.rest); end > 0 {
+		t.started = true
+		t.rest = t.rest[end:]
+	}
+	// The start of a longer event tells as much as all of it.
+	t.rest = t.rest[:min(len(t.rest), maxEventBytes)]
 }
 
-// insideEvent reports whether the stream ends inside an event, or before its first one.
-func (t *eventTail) insideEvent() bool {
-	return !slices.ContainsFunc(eventTerminators, func(terminator []byte) bool { return bytes.HasSuffix(t.last, terminator) })
+// truncated reports whether the stream would be truncated if it ended here: inside an event, or before its first one.
+func (t *eventTail) truncated() bool { return !t.started || holdsEvent(t.rest) }
+
+// holdsEvent reports whether the bytes after the last complete event of a stream hold a part of another event. Whole
+// lines that are comments or set the retry time are not part of an event.
+func holdsEvent(rest []byte) bool {
+	for len(rest) > 0 {
+		end := bytes.IndexAny(rest, "\r\n")
+		if end < 0 {
+			return true
+		}
+		line := rest[:end]
+		if len(line) > 0 && !bytes.HasPrefix(line, []byte(":")) && !bytes.HasPrefix(line, []byte("retry:")) {
+			return true
+		}
+		rest = rest[end+1:]
+	}
+	return false
 }
 
 // completeEventsLen returns the length in bytes of the complete events at the start of stream.
@@ -65,7 +85,7 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case err == io.EOF && resp.Framing == exchange.FramedByConn && (len(pending) > 0 || !started):
+		case err == io.EOF && resp.Framing == exchange.FramedByConn && (!started || holdsEvent(pending)):
 			return lastID, resp.TruncatedError()
 		case err == io.EOF && len(pending) > 0:
 			// The upstream's response is complete, so its unterminated last event is relayed too.
@@ -82,11 +102,12 @@
 
 // lastEventID returns the ID of the last event that has one, and false if none has.
 func lastEventID(events []byte) (string, bool) {
-	lines := bytes.Split(events, []byte("\n"))
-	for i := len(lines) - 1; i >= 0; i-- {
-		if id, found := bytes.CutPrefix(bytes.TrimSuffix(lines[i], []byte("\r")), []byte("id:")); found {
+	for len(events) > 0 {
+		start := 1 + bytes.LastIndexAny(events, "\r\n")
+		if id, found := bytes.CutPrefix(events[start:], []byte("id:")); found {
 			return string(bytes.TrimSpace(id)), true
 		}
+		events = events[:max(start-1, 0)]
 	}
 	return "", false
 }
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -12,6 +13,7 @@
 		{"one complete and one partial event", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", "1"},
 		{"CRLF line endings", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\nid", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", "2"},
 		{"mixed line endings", "id: 1\n\r\nid: 2\n\nid", "id: 1\n\r\nid: 2\n\n", "2"},
+		{"CR line endings", "id: 1\rdata: a\r\rid: 2\rda", "id: 1\rdata: a\r\r", "1"},
 		{"split between CR and LF", "id: 1\r\ndata: a\r\n\r", "", ""},
 	}
 	for _, s := range scenarios {
@@ -26,15 +28,23 @@
 
 func TestEventTail(t *testing.T) {
 	scenarios := []struct {
-		name   string
-		pieces []string
-		inside bool
+		name      string
+		pieces    []string
+		truncated bool
 	}{
 		{"between two events", []string{"id: 1\ndata: a\n", "\n"}, false},
 		{"between two events with carriage returns", []string{"data: a\r\n\r", "\n"}, false},
 		{"inside a line", []string{"data: a\n\n", "da"}, true},
 		{"after a line", []string{"data: a\n\ndata: b\n"}, true},
 		{"nothing", nil, true},
+		{"between two events with CR alone", []string{"data: a\r", "\rdata: b\r\r"}, false},
+		{"inside a line that ends with CR", []string{"data: a\r\rdata: b\r"}, true},
+		{"after a comment", []string{"data: a\n\n", ": keep-alive\n"}, false},
+		{"after a retry time", []string{"data: a\n\nretry: 10\r\n"}, false},
+		{"inside a comment", []string{"data: a\n\n: keep"}, true},
+		{"comments alone", []string{": one\n", ": two\n"}, true},
+		{"inside a field after a comment", []string{"data: a\n\n: keep-alive\nda"}, true},
+		{"inside a long event", []string{"data: a\n\ndata: ", strings.Repeat("b", maxEventBytes+1)}, true},
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
@@ -42,7 +52,7 @@
 			for _, piece := range scenario.pieces {
 				tail.add([]byte(piece))
 			}
-			assert.Equal(t, scenario.inside, tail.insideEvent())
+			assert.Equal(t, scenario.truncated, tail.truncated())
 		})
 	}
 }
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -102,23 +102,34 @@
 	return w.controller.Flush()
 }
 
-// copyBody streams the body of a response to the caller. An event stream that only the end of the connection ends is
-// truncated if it ends inside an event. If writing fails it returns an Error of kind ErrCallerGone;
+// copyBody streams the body of a response to the caller. If writing fails it returns an Error of kind ErrCallerGone;
 // read errors are returned as they are.
-func (w *responseWriter) copyBody(resp *exchange.Response, stream bool) error {
-	buffer := make([]byte, copyBufferBytes)
+func (w *responseWriter) copyBody(resp *exchange.Response) error {
+	return w.copyWith(resp, func([]byte) {})
+}
+
+// copyUnframedEvents is copyBody for an event stream that only the end of its connection ends. Such a stream is truncated
+// if it ends inside an event.
+func (w *responseWriter) copyUnframedEvents(resp *exchange.Response) error {
 	var tail eventTail
+	err := w.copyWith(resp, tail.add)
+	if err == nil && tail.truncated() {
+		return resp.TruncatedError()
+	}
+	return err
+}
+
+// copyWith copies the body of a response to the caller and calls observe with each part before it is written.
+func (w *responseWriter) copyWith(resp *exchange.Response, observe func([]byte)) error {
+	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Read(buffer)
 		if n > 0 {
-			tail.add(buffer[:n])
+			observe(buffer[:n])
 			if writeErr := w.writeAndFlush(buffer[:n]); writeErr != nil {
 				return &Error{Op: "write response", Kind: ErrCallerGone, Err: writeErr}
 			}
 		}
-		if err == io.EOF && stream && resp.Framing == exchange.FramedByConn && tail.insideEvent() {
-			return resp.TruncatedError()
-		}
 		if err == io.EOF {
 			return nil
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -208,8 +208,10 @@
 	defer resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", resp.Framing))
 	r.w.start(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, resp.Length)
-	stream := r.route.Stream && resp.Status == http.StatusOK
-	return relayError(r.w.copyBody(resp, stream))
+	if resp.Framing == exchange.FramedByConn && resp.Status == http.StatusOK && r.route.Stream {
+		return relayError(r.w.copyUnframedEvents(resp))
+	}
+	return relayError(r.w.copyBody(resp))
 }
 
 // relayError converts an error of relaying a response body to an *Error.
