Judge an event stream without framing by its events on every route

What callers saw: an event stream that stopped inside an event reached them as whole on a route that is not declared as a stream. Cause: only the declaration said what a stream is; the answer's own media type was not asked. Change: an answer that says that it is an event stream is judged as one. Ruled out: resuming it, which only a route can allow.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"mime"
+	"net/http"
 
 	"github.com/cassiabridge/cassiabridge/exchange"
 )
@@ -14,6 +16,12 @@
 // ends with LF, CRLF or CR.
 var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r"), []byte("\r\r\n")}
 
+// isEventStream reports whether a response says that its body is an event stream.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // eventTail follows the end of an event stream that only its connection ends, to tell whether the stream is truncated.
 type eventTail struct {
 	// started is whether an event has been complete, and rest holds the bytes after the last complete event.
