Pass on and replay a native service's answer without framing as it came

What callers would see: an answer of a plain service of the native interface that has neither a length nor chunks, cut short by an orderly close, arrives with a length, and is replayed so. Cause: the answer is read up to the end of its connection and then sent as a whole of known length. Evidence: TestAnswerOfAServiceWithoutFramingGainsOne failed in both subtests before and passes now. Change: the answer, and its record for replays, keep that it had no framing, and so does what the caller gets. Ruled out: the operation in doubt (it has run, as its status says; each call of a service that never frames would be). Conclusion: mended.

--- a/caller/forward.go
+++ b/caller/forward.go
@@ -104,8 +104,17 @@
 	for name, values := range filterHeader(response.Header, returnedHeaders) {
 		w.Header()[name] = values
 	}
-	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body)
+	writeBody(w, response.Status, response.Body, response.Unframed)
+}
+
+// writeBody writes the status and body of a response. An unframed body gets neither a length nor chunks: that would claim
+// that it is complete.
+func writeBody(w http.ResponseWriter, status int, body []byte, unframed bool) {
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
 }
 
 func hashRequest(r *request) string {
--- a/caller/operation.go
+++ b/caller/operation.go
@@ -113,8 +113,7 @@
 func replayResponse(w http.ResponseWriter, answer catalog.Answer) {
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.Header().Set("Idempotent-Replayed", "true")
-	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+	writeBody(w, answer.Status, answer.Body, answer.Unframed)
 }
 
 // settleInDoubt asks the service for the outcome of an operation in doubt and records it, if the route
@@ -149,7 +148,7 @@
 }
 
 func toCatalogAnswer(response service.Response) catalog.Answer {
-	return catalog.Answer{Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: response.Body}
+	return catalog.Answer{Status: response.Status, ContentType: response.Header.Get("Content-Type"), Body: response.Body, Unframed: response.Unframed}
 }
 
 // recordAndForward records the operation, forwards the request if that record is the first one, and
--- a/catalog/record.go
+++ b/catalog/record.go
@@ -92,6 +92,8 @@
 	Status      int    `json:",omitempty"`
 	ContentType string `json:",omitempty"`
 	Body        []byte `json:",omitempty"`
+	// Unframed is whether only the end of the connection ended the body, so that it may be truncated.
+	Unframed bool `json:",omitempty"`
 }
 
 // SlotMove transfers slots from one holder to another. A slot is a fixed fraction of the rate and
--- a/integration/client_test.go
+++ b/integration/client_test.go
@@ -20,7 +20,9 @@
 	status int
 	header http.Header
 	body   string
-	err    error
+	// endedByConn is whether the body had neither a length nor chunks.
+	endedByConn bool
+	err         error
 }
 
 // errorResponse is the body of an error response: the type of the error, and whether anything was run.
@@ -99,7 +101,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+	return response{status: resp.StatusCode, header: resp.Header, body: string(data), endedByConn: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, err: err}
 }
 
 func (c *cluster) sendCompletion(v *vm, key, prompt string, maxTokens int, opts ...callOption) response {
--- a/integration/operations_test.go
+++ b/integration/operations_test.go
@@ -141,3 +141,24 @@
 	c.eventually(20*time.Second, "the operation is settled by its status", func() bool { return c.callRelease(c.vms[2], key, "job-killed").status == http.StatusOK })
 	assertRunCount(t, c, "job-killed", 1)
 }
+
+func TestAnswerOfAServiceWithoutFramingGainsOne(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, clusterConfig{vms: 2})
+	key := c.newKey("k1", "schools")
+	c.desk.SetFaults(standin.Faults{Unframed: true})
+	assertEndedByConn := func(t *testing.T, a response) {
+		t.Helper()
+		assert.Equal(t, http.StatusOK, a.status, a.body)
+		assert.True(t, a.endedByConn, "no length and no chunks may be added to the answer")
+	}
+	t.Run("repeatable call", func(t *testing.T) { assertEndedByConn(t, c.callPrice(c.vms[0], key)) })
+	t.Run("operation and its replay", func(t *testing.T) {
+		first := c.callRelease(c.vms[0], key, "job-unframed")
+		assertEndedByConn(t, first)
+		replayed := c.callRelease(c.vms[1], key, "job-unframed")
+		assertEndedByConn(t, replayed)
+		assert.Equal(t, first.body, replayed.body)
+		assertRunCount(t, c, "job-unframed", 1)
+	})
+}
--- a/service/client.go
+++ b/service/client.go
@@ -31,11 +31,13 @@
 	Operation string
 }
 
-// Response is the complete response of a service.
+// Response is the response of a service.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// Unframed is whether only the end of the connection ended the body, so that it may be truncated.
+	Unframed bool
 }
 
 // Client sends requests to plain services. It is safe for concurrent use.
@@ -123,7 +125,8 @@
 	if int64(len(body)) > c.maxResponseBytes {
 		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: fmt.Errorf("response is longer than %d bytes", c.maxResponseBytes)}
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: unframed}, nil
 }
 
 func transportErrorKind(err error) ErrorKind {
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -29,6 +29,8 @@
 	FreezeReports bool
 	// DropCacheEvents omits the older half of the cache events from reports.
 	DropCacheEvents bool
+	// Unframed answers have neither a length nor chunks, and end with their connection.
+	Unframed bool
 	// Status, if not 0, is answered instead of executing the request.
 	Status int
 }
@@ -84,6 +86,9 @@
 			next(discardWriter{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		}
+		if faults.Unframed {
+			w.Header().Set("Transfer-Encoding", "identity")
+		}
 		next(w, r)
 	}
 }
