Read the store's era and log each change of it

Cause: the log could not tell a store that came back from an older copy from an ordinary outage. Change: platform decodes the header that names the era of each answer, with what it reads; follow keeps the newest and logs store-restored with both. A read that fails no longer moves the offset. No decision follows from an era yet. Ruled out: the state in platform, which keeps none. Measured: unit tests, no figure.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -31,7 +31,8 @@
 // newStoreSource returns a configSource that follows the platform's metadata store, and a function that closes it.
 func newStoreSource(cfg settings.Settings, log *zap.Logger) (configSource, func()) {
 	client, closeClient := exchange.NewClient(exchange.WithDialTimeout(storeDialTimeout))
-	syncer := newStoreSyncer(cfg, platform.NewStore(client, cfg.Gateway.Store), log)
+	eras := follow.NewEraTracker(log)
+	syncer := newStoreSyncer(cfg, platform.NewStore(client, cfg.Gateway.Store, eras.Observe), log)
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas)},
@@ -113,8 +114,8 @@
 			return store.Put(ctx, platform.TopicCopy, key, value)
 		},
 		Newest: func(ctx context.Context) ([]follow.Record, error) {
-			records, _, err := topic.Newest(ctx)
-			return records, err
+			found, err := topic.Newest(ctx)
+			return found.Records, err
 		},
 	}
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -35,13 +35,22 @@
 	Offset uint64
 }
 
+// Range is a part of a topic that was read.
+type Range struct {
+	Records []Record
+	// Next is the offset of the first record after the range.
+	Next uint64
+	// Era is the era in which the offsets hold, or 0 if the store names none.
+	Era uint64
+}
+
 // Topic holds the functions that read one topic.
 type Topic struct {
 	Name string
-	// Newest returns the newest record of each key, and the offset of the first record after them.
-	Newest func(ctx context.Context) ([]Record, uint64, error)
+	// Newest returns the newest record of each key.
+	Newest func(ctx context.Context) (Range, error)
 	// Read returns the records from offset from onward. At the end of the topic it waits up to wait for a record.
-	Read func(ctx context.Context, from uint64, wait time.Duration) ([]Record, error)
+	Read func(ctx context.Context, from uint64, wait time.Duration) (Range, error)
 }
 
 // Batch is the result of one read.
@@ -138,12 +147,12 @@
 	if !f.haveSnapshot {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		records, next, err := f.topic.Newest(callCtx)
+		found, err := f.topic.Newest(callCtx)
 		if err != nil {
 			return Batch{}, err
 		}
-		f.haveSnapshot, f.nextOffset = true, next
-		return Batch{Records: records, Snapshot: true, NextOffset: next}, nil
+		f.haveSnapshot, f.nextOffset = true, found.Next
+		return Batch{Records: found.Records, Snapshot: true, NextOffset: found.Next}, nil
 	}
 	if f.wait == 0 {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -173,9 +182,12 @@
 
 // readNext reads the records from nextOffset onward.
 func (f *Follower) readNext(ctx context.Context) (Batch, error) {
-	records, err := f.topic.Read(ctx, f.nextOffset, f.wait)
-	f.nextOffset += uint64(len(records))
-	return Batch{Records: records, NextOffset: f.nextOffset}, err
+	found, err := f.topic.Read(ctx, f.nextOffset, f.wait)
+	if err != nil {
+		return Batch{}, err
+	}
+	f.nextOffset = found.Next
+	return Batch{Records: found.Records, NextOffset: found.Next}, nil
 }
 
 // deliver passes a batch to apply and ends an outage.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -36,14 +36,14 @@
 	change()
 }
 
-func (f *fakeTopic) newest(context.Context) ([]Record, uint64, error) {
+func (f *fakeTopic) newest(context.Context) (Range, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.newestCalls++
-	return append([]Record{}, f.records...), uint64(len(f.records)), f.err
+	return Range{Records: append([]Record{}, f.records...), Next: uint64(len(f.records))}, f.err
 }
 
-func (f *fakeTopic) read(ctx context.Context, from uint64, wait time.Duration) ([]Record, error) {
+func (f *fakeTopic) read(ctx context.Context, from uint64, wait time.Duration) (Range, error) {
 	deadline := time.Now().Add(wait)
 	f.update(func() { f.readCalls++ })
 	for {
@@ -54,17 +54,17 @@
 		switch {
 		case hang:
 			<-ctx.Done()
-			return nil, ctx.Err()
+			return Range{}, ctx.Err()
 		case fail != nil:
-			return nil, fail
+			return Range{}, fail
 		case from < first:
-			return nil, errExpired
+			return Range{}, errExpired
 		case len(records) > 0 || time.Now().After(deadline):
-			return records, nil
+			return Range{Records: records, Next: from + uint64(len(records))}, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return Range{}, ctx.Err()
 		case <-time.After(2 * time.Millisecond):
 		}
 	}
