--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -152,9 +152,11 @@
 	return false
 }
 
-// updateEntry sets one field of a replica's entry in the store.
+// updateEntry sets one field of a replica's entry in the store, as the replica does with a higher sequence number.
 func (s *site) updateEntry(id, field string, value any) {
-	s.replicas[id].entry[field] = value
+	entry := s.replicas[id].entry
+	entry[field] = value
+	entry["sequence"] = entry["sequence"].(int) + 1
 	s.store.PutReplica(id, s.replicas[id].entry)
 }
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -24,6 +24,8 @@
 	mu     sync.Mutex
 	topics map[string]*topic
 	calls  map[string]int
+	// era rises with each restore, and is named in all answers.
+	era uint64
 	// silentTopics holds the topics for which requests are not answered.
 	silentTopics map[string]bool
 }
@@ -37,6 +39,10 @@
 	changed chan struct{}
 }
 
+func (t *topic) clone() *topic {
+	return &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest), changed: make(chan struct{})}
+}
+
 type keyedRecord struct {
 	offset uint64
 	key    string
@@ -44,7 +50,9 @@
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{topics: map[string]*topic{}, calls: map[string]int{}} }
+func NewStore() *Store {
+	return &Store{topics: map[string]*topic{}, calls: map[string]int{}, era: 1}
+}
 
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
@@ -59,6 +67,11 @@
 func (s *Store) Put(topicName, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(topicName, key, value)
+}
+
+// put is Put for callers that hold s.mu.
+func (s *Store) put(topicName, key string, value []byte) {
 	t := s.topic(topicName)
 	record := keyedRecord{offset: t.end(), key: key, value: value}
 	t.records = append(t.records, record)
@@ -71,26 +84,26 @@
 	t.changed = make(chan struct{})
 }
 
-// PutJSON appends a record for a key with value encoded as JSON. It panics if value can't be encoded.
-func (s *Store) PutJSON(topicName, key string, value any) {
+// PutRecord appends a record.
+func (s *Store) PutRecord(r StoreRecord) { s.Put(r.Topic, r.Key, encodeRecord(r.Value)) }
+
+// encodeRecord encodes a value as JSON, and nil as no value. It panics if value can't be encoded.
+func encodeRecord(value any) []byte {
+	if value == nil {
+		return nil
+	}
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
-	s.Put(topicName, key, data)
+	return data
 }
 
 // Configure publishes a configuration.
-func (s *Store) Configure(configuration any) { s.PutJSON(topicConfiguration, "config", configuration) }
+func (s *Store) Configure(configuration any) { s.PutRecord(ConfigurationRecord(configuration)) }
 
 // PutReplica publishes the entry of a replica, or removes the replica if entry is nil.
-func (s *Store) PutReplica(id string, entry any) {
-	if entry == nil {
-		s.Put(topicReplicas, id, nil)
-		return
-	}
-	s.PutJSON(topicReplicas, id, entry)
-}
+func (s *Store) PutReplica(id string, entry any) { s.PutRecord(ReplicaRecord(id, entry)) }
 
 // TruncateHistory truncates the log of a topic. The newest record of each key stays available.
 func (s *Store) TruncateHistory(topicName string) {
@@ -100,6 +113,65 @@
 	t.first, t.records = t.end(), nil
 }
 
+// StoreCopy is the content of a Store at some time.
+type StoreCopy struct {
+	topics map[string]*topic
+}
+
+// Copy returns a copy of the current content.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{topics: cloneTopics(s.topics)}
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	clones := map[string]*topic{}
+	for name, t := range topics {
+		clones[name] = t.clone()
+	}
+	return clones
+}
+
+// StoreRecord is a record that is written to a Store. Value is encoded as JSON; nil removes the key.
+type StoreRecord struct {
+	Topic, Key string
+	Value      any
+}
+
+// ConfigurationRecord returns the record with which a configuration is published.
+func ConfigurationRecord(configuration any) StoreRecord {
+	return StoreRecord{Topic: topicConfiguration, Key: "config", Value: configuration}
+}
+
+// ReplicaRecord returns the record with which the entry of a replica is published.
+func ReplicaRecord(id string, entry any) StoreRecord {
+	return StoreRecord{Topic: topicReplicas, Key: id, Value: entry}
+}
+
+// Restore replaces the content by an older copy, starts a new era and writes records before the first answer of that era.
+// Whatever was written since the copy is lost, and its offsets are given out again.
+func (s *Store) Restore(from StoreCopy, records ...StoreRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.topics
+	s.topics = cloneTopics(from.topics)
+	s.era++
+	for _, record := range records {
+		s.put(record.Topic, record.Key, encodeRecord(record.Value))
+	}
+	for _, t := range old {
+		close(t.changed)
+	}
+}
+
+// Newest returns the newest value of a key, or nil.
+func (s *Store) Newest(topicName, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(topicName).newest[key].value
+}
+
 // SilenceTopics leaves requests for the given topics unanswered, and answers those for all others again.
 func (s *Store) SilenceTopics(topicNames ...string) {
 	s.mu.Lock()
@@ -136,6 +208,7 @@
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
 		silent := s.silentTopics[r.URL.Query().Get("topic")]
+		s.setEra(w)
 		s.mu.Unlock()
 		if silent {
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -146,6 +219,11 @@
 	}
 }
 
+// setEra names the current era in an answer. The caller must hold s.mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 type newestItem struct {
 	Key    string `json:"key"`
 	Value  []byte `json:"value"`
@@ -164,6 +242,7 @@
 func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	page := newestPage{Items: []newestItem{}, EndOffset: t.end()}
 	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
@@ -184,11 +263,18 @@
 	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		t := s.topic(r.URL.Query().Get("topic"))
 		changed := t.changed
-		if from < t.first {
+		if from < t.first || from > t.end() {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			writeJSON(w, map[string]uint64{"firstOffset": t.first})
