Void the offsets of all topics when the store comes back from an older copy

What callers may see: a confirmed change that is not in force: its offset had been given out before, and a read from beyond it succeeds. Cause: followers took 410 alone as the sign of lost offsets; after a restore an offset of ours can exist again and name other records. Change: an offset holds in its era. Ruled out: a comparison with the end offset, which passes once enough has been written again.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -31,8 +31,9 @@
 // newStoreSource returns a configSource that follows the platform's metadata store, and a function that closes it.
 func newStoreSource(cfg settings.Settings, log *zap.Logger) (configSource, func()) {
 	client, closeClient := exchange.NewClient(exchange.WithDialTimeout(storeDialTimeout))
-	eras := follow.NewEraTracker(log)
-	syncer := newStoreSyncer(cfg, platform.NewStore(client, cfg.Gateway.Store, eras.Observe), log)
+	syncer := newStoreSyncer(cfg, log)
+	eras := follow.NewEraTracker(log, syncer.refreshAll)
+	syncer.store = platform.NewStore(client, cfg.Gateway.Store, eras.Observe)
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas)},
@@ -56,8 +57,9 @@
 	vmsRefresh chan struct{}
 }
 
-func newStoreSyncer(cfg settings.Settings, store *platform.Store, log *zap.Logger) *storeSyncer {
-	return &storeSyncer{store: store, log: log, vm: cfg.VM, ownRecord: gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone},
+// newStoreSyncer returns a storeSyncer without its store.
+func newStoreSyncer(cfg settings.Settings, log *zap.Logger) *storeSyncer {
+	return &storeSyncer{log: log, vm: cfg.VM, ownRecord: gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone},
 		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1), vmsRefresh: make(chan struct{}, 1)}
 }
 
@@ -67,6 +69,13 @@
 // refreshReplicas triggers an immediate read of the list of replicas.
 func (s *storeSyncer) refreshReplicas() { notify(s.replicasRefresh) }
 
+// refreshAll triggers an immediate read of all topics, since the store has come back from an older copy.
+func (s *storeSyncer) refreshAll() {
+	notify(s.declarationsRefresh)
+	notify(s.replicasRefresh)
+	notify(s.vmsRefresh)
+}
+
 // follow applies changes in the store to the controller until ctx is done.
 func (s *storeSyncer) follow(ctx context.Context, control *gateway.Controller) {
 	commonOptions := []follow.Option{follow.WithExpired(platform.Expired), follow.WithLogger(s.log)}
--- a/follow/era.go
+++ b/follow/era.go
@@ -10,13 +10,17 @@
 // copy of its content: what was written since that copy is lost, and its offsets are given out again. It is safe for
 // concurrent use.
 type EraTracker struct {
-	log *zap.Logger
+	log      *zap.Logger
+	onChange func()
+
 	mu  sync.Mutex
 	era uint64
 }
 
-// NewEraTracker returns an EraTracker that logs each change.
-func NewEraTracker(log *zap.Logger) *EraTracker { return &EraTracker{log: log} }
+// NewEraTracker returns an EraTracker that logs each change of the era and then calls onChange, which must not block.
+func NewEraTracker(log *zap.Logger, onChange func()) *EraTracker {
+	return &EraTracker{log: log, onChange: onChange}
+}
 
 // Observe records the era that an answer named. 0 stands for an answer that named none.
 func (t *EraTracker) Observe(era uint64) {
@@ -25,8 +29,10 @@
 	if era <= t.era {
 		return
 	}
-	if t.era > 0 {
-		t.log.Warn("store-restored", zap.Uint64("FromEra", t.era), zap.Uint64("ToEra", era))
-	}
+	from := t.era
 	t.era = era
+	if from > 0 {
+		t.log.Warn("store-restored", zap.Uint64("FromEra", from), zap.Uint64("ToEra", era))
+		t.onChange()
+	}
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -2,7 +2,8 @@
 //
 // A Follower first reads a snapshot of the newest records and then the records that are appended after it. It retries
 // while the store is unavailable, reads a new snapshot if the store has dropped records that it had not read yet, and
-// reports with each batch how long the store had been unavailable.
+// reports with each batch how long the store had been unavailable. An offset holds in the era in which it was read: if the
+// store comes back from an older copy, a new snapshot is read too.
 package follow
 
 import (
@@ -25,6 +26,9 @@
 	maxRetryDelay = 700 * time.Millisecond
 )
 
+// errRestored means that a read was answered in another era than the snapshot, so that the offset named other records.
+var errRestored = errors.New("the store has come back from an older copy")
+
 // errWokenUp is the cancellation cause of a waiting read that was interrupted by a wakeup.
 var errWokenUp = errors.New("read interrupted by a wakeup")
 
@@ -60,6 +64,11 @@
 	Snapshot bool
 	// NextOffset is the offset of the next record to read.
 	NextOffset uint64
+	// Era is the era in which the offsets hold, or 0 if the store names none.
+	Era uint64
+	// Restored is set if the store has come back from an older copy since the last snapshot. Records may then be older
+	// than those read before, and newer ones missing until their writers write them again.
+	Restored bool
 	// Outage is the time since the last successful read, or since Run was called, if calls have failed since then.
 	// Otherwise it is 0.
 	Outage time.Duration
@@ -78,8 +87,11 @@
 
 	nextOffset   uint64
 	haveSnapshot bool
-	lastSuccess  time.Time
-	unavailable  bool
+	// era is the era of the last snapshot, and everRead whether there was one.
+	era         uint64
+	everRead    bool
+	lastSuccess time.Time
+	unavailable bool
 }
 
 // Option configures a Follower.
@@ -126,8 +138,8 @@
 			f.deliver(batch)
 			f.sleep(ctx, f.jitteredInterval())
 		case ctx.Err() != nil, errors.Is(err, errWokenUp):
-		case f.isExpired(err):
-			f.log.Info("topic-reread", zap.String("Topic", f.topic.Name), zap.Uint64("From", f.nextOffset), zap.Error(err))
+		case f.isExpired(err), errors.Is(err, errRestored):
+			f.log.Info("topic-reread", zap.String("Topic", f.topic.Name), zap.Uint64("From", f.nextOffset), zap.Uint64("Era", f.era), zap.Error(err))
 			f.haveSnapshot = false
 		default:
 			f.recordFailure(err)
@@ -151,8 +163,9 @@
 		if err != nil {
 			return Batch{}, err
 		}
-		f.haveSnapshot, f.nextOffset = true, found.Next
-		return Batch{Records: found.Records, Snapshot: true, NextOffset: found.Next}, nil
+		restored := f.everRead && found.Era != f.era
+		f.haveSnapshot, f.everRead, f.nextOffset, f.era = true, true, found.Next, found.Era
+		return Batch{Records: found.Records, Snapshot: true, NextOffset: found.Next, Era: found.Era, Restored: restored}, nil
 	}
 	if f.wait == 0 {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -183,11 +196,14 @@
 // readNext reads the records from nextOffset onward.
 func (f *Follower) readNext(ctx context.Context) (Batch, error) {
 	found, err := f.topic.Read(ctx, f.nextOffset, f.wait)
-	if err != nil {
+	switch {
+	case err != nil:
 		return Batch{}, err
+	case found.Era != f.era:
+		return Batch{}, errRestored
 	}
 	f.nextOffset = found.Next
-	return Batch{Records: found.Records, NextOffset: found.Next}, nil
+	return Batch{Records: found.Records, NextOffset: found.Next, Era: found.Era}, nil
 }
 
 // deliver passes a batch to apply and ends an outage.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -18,6 +18,7 @@
 	mu          sync.Mutex
 	records     []Record
 	firstOffset uint64
+	era         uint64
 	err         error
 	hang        bool
 	newestCalls int
@@ -40,7 +41,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.newestCalls++
-	return Range{Records: append([]Record{}, f.records...), Next: uint64(len(f.records))}, f.err
+	return Range{Records: append([]Record{}, f.records...), Next: uint64(len(f.records)), Era: f.era}, f.err
 }
 
 func (f *fakeTopic) read(ctx context.Context, from uint64, wait time.Duration) (Range, error) {
@@ -48,7 +49,7 @@
 	f.update(func() { f.readCalls++ })
 	for {
 		f.mu.Lock()
-		fail, hang, first := f.err, f.hang, f.firstOffset
+		fail, hang, first, era := f.err, f.hang, f.firstOffset, f.era
 		records := append([]Record{}, f.records[min(from, uint64(len(f.records))):]...)
 		f.mu.Unlock()
 		switch {
@@ -60,7 +61,7 @@
 		case from < first:
 			return Range{}, errExpired
 		case len(records) > 0 || time.Now().After(deadline):
-			return Range{Records: records, Next: from + uint64(len(records))}, nil
+			return Range{Records: records, Next: from + uint64(len(records)), Era: era}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -95,6 +96,18 @@
 	return c.values[key]
 }
 
+// last returns the last batch that had records.
+func (c *batchRecorder) last() Batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := len(c.batches) - 1; i > 0; i-- {
+		if len(c.batches[i].Records) > 0 {
+			return c.batches[i]
+		}
+	}
+	return c.batches[0]
+}
+
 func (c *batchRecorder) longestOutage() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,6 +192,20 @@
 		wakeups <- struct{}{}
 		eventually(t, "record", func() bool { return got.value("a") == "1" })
 	})
+	t.Run("reads a new snapshot in a new era, though its offset exists in it", func(t *testing.T) {
+		topic := &fakeTopic{era: 1}
+		topic.put("a", "1")
+		_, got := startFollower(t, topic)
+		eventually(t, "snapshot", func() bool { return got.value("a") == "1" })
+		topic.update(func() {
+			topic.records = []Record{{Key: "b", Value: []byte("2")}, {Key: "c", Value: []byte("3"), Offset: 1}}
+			topic.era = 2
+		})
+		eventually(t, "new snapshot", func() bool { return got.value("b") == "2" && got.value("c") == "3" && got.value("a") == "" })
+		last := got.last()
+		assert.True(t, last.Snapshot && last.Restored, "%+v", last)
+		assert.Equal(t, uint64(2), last.Era)
+	})
 	t.Run("pauses between reads", func(t *testing.T) {
 		topic := &fakeTopic{}
 		_, _ = startFollower(t, topic, WithWait(0), WithInterval(100*time.Millisecond))
