Write the backup copy again when the store comes back from an older copy

What callers may see: after a restore, and then the loss of all VMs while the operator's topic does not answer, a configuration that is older than the confirmed one, or none. Cause: the writer of the copy remembers what it wrote, and takes it as stored until the next change. Change: what was written holds for one era of the store.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -33,7 +33,7 @@
 	client, closeClient := exchange.NewClient(exchange.WithDialTimeout(storeDialTimeout))
 	syncer := newStoreSyncer(cfg, log)
 	eras := follow.NewEraTracker(log, syncer.refreshAll)
-	syncer.store = platform.NewStore(client, cfg.Gateway.Store, eras.Observe)
+	syncer.eras, syncer.store = eras, platform.NewStore(client, cfg.Gateway.Store, eras.Observe)
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas)},
@@ -45,6 +45,7 @@
 // store.
 type storeSyncer struct {
 	store *platform.Store
+	eras  *follow.EraTracker
 	log   *zap.Logger
 	vm    string
 	// ownRecord is this VM's record. announceNeeded is signaled if the store does not hold it.
@@ -57,7 +58,7 @@
 	vmsRefresh chan struct{}
 }
 
-// newStoreSyncer returns a storeSyncer without its store.
+// newStoreSyncer returns a storeSyncer that lacks its store and eras: what follows a new era is its own.
 func newStoreSyncer(cfg settings.Settings, log *zap.Logger) *storeSyncer {
 	return &storeSyncer{log: log, vm: cfg.VM, ownRecord: gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone},
 		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1), vmsRefresh: make(chan struct{}, 1)}
@@ -92,7 +93,7 @@
 			notify(s.announceNeeded)
 		}
 	}, follow.WithInterval(vmsReadInterval), follow.WithWakeups(s.vmsRefresh))
-	copies := newCopies(s.store)
+	copies := newCopies(s.store, s.eras)
 	stopBackground := runInBackground(declarations.Run, replicas.Run, vms.Run, s.announce,
 		func(ctx context.Context) { control.RestoreCopy(ctx, copies) }, func(ctx context.Context) { control.MaintainCopy(ctx, copies) })
 	<-ctx.Done()
@@ -116,9 +117,10 @@
 }
 
 // newCopies returns access to the backup copy of the VMs' shared state in the store.
-func newCopies(store *platform.Store) gateway.CopyStore {
+func newCopies(store *platform.Store, eras *follow.EraTracker) gateway.CopyStore {
 	topic := store.Topic(platform.TopicCopy)
 	return gateway.CopyStore{
+		Era: eras.Current,
 		Put: func(ctx context.Context, key string, value []byte) error {
 			return store.Put(ctx, platform.TopicCopy, key, value)
 		},
--- a/follow/era.go
+++ b/follow/era.go
@@ -22,6 +22,13 @@
 	return &EraTracker{log: log, onChange: onChange}
 }
 
+// Current returns the newest era that was observed, or 0.
+func (t *EraTracker) Current() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
+}
+
 // Observe records the era that an answer named. 0 stands for an answer that named none.
 func (t *EraTracker) Observe(era uint64) {
 	t.mu.Lock()
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -33,8 +33,9 @@
 )
 
 // CopyStore gives access to the stored backup copy. Put replaces the value of a key, and Newest returns the newest
-// record of each key.
+// record of each key. Era returns the era of the store: what was written in an older one may be lost.
 type CopyStore struct {
+	Era    func() uint64
 	Put    func(ctx context.Context, key string, value []byte) error
 	Newest func(ctx context.Context) ([]follow.Record, error)
 }
@@ -70,7 +71,7 @@
 // MaintainCopy writes the declarations and the replicas whenever they have changed, as long as this VM is the leader.
 // It returns when ctx is done. Two VMs that both consider themselves the leader write the same values.
 func (c *Controller) MaintainCopy(ctx context.Context, copies CopyStore) {
-	written := map[string]string{}
+	written, writtenIn := map[string]string{}, copies.Era()
 	ticker := time.NewTicker(copyInterval)
 	defer ticker.Stop()
 	for {
@@ -79,6 +80,10 @@
 			return
 		case <-ticker.C:
 		}
+		if era := copies.Era(); era != writtenIn {
+			clear(written)
+			writtenIn = era
+		}
 		k := c.collectCopyState()
 		if !k.leader || k.table == nil || len(k.replicas) == 0 {
 			clear(written)
