Let a VM that starts serve only with declarations as new as those of its peers

What callers may see: a VM that starts after the store came back from an older copy accepts keys that were withdrawn, and does not know routes that its peers serve. Cause: it took the store's newest configuration for the newest one; peers' beacons name a newer version, and it asked the store again, which has none. Change: until it has once been as new as all peers that it hears, a VM is not ready and answers 503, truly not run. What its peers have and the store lacks it reads from the backup copy, which the leader writes again in the new era. Conclusion: mended where a peer serves; a VM that starts when none is left cannot know.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -36,8 +36,9 @@
 	syncer.eras, syncer.store = eras, platform.NewStore(client, cfg.Gateway.Store, eras.Observe)
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
-		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas)},
-		reload:  func(*gateway.Controller) error { return nil },
+		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas),
+			gateway.WithCopyReader(syncer.refreshCopy)},
+		reload: func(*gateway.Controller) error { return nil },
 	}, closeClient
 }
 
@@ -54,14 +55,16 @@
 	// declarationsRefresh and replicasRefresh trigger an immediate read of the declarations and the list of replicas.
 	declarationsRefresh chan struct{}
 	replicasRefresh     chan struct{}
-	// vmsRefresh triggers a read of the list of VMs.
-	vmsRefresh chan struct{}
+	// vmsRefresh and copyRefresh trigger a read of the list of VMs and of the backup copy.
+	vmsRefresh  chan struct{}
+	copyRefresh chan struct{}
 }
 
 // newStoreSyncer returns a storeSyncer that lacks its store and eras: what follows a new era is its own.
 func newStoreSyncer(cfg settings.Settings, log *zap.Logger) *storeSyncer {
 	return &storeSyncer{log: log, vm: cfg.VM, ownRecord: gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone},
-		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1), vmsRefresh: make(chan struct{}, 1)}
+		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1), vmsRefresh: make(chan struct{}, 1),
+		copyRefresh: make(chan struct{}, 1)}
 }
 
 // refreshDeclarations triggers an immediate read of the declarations.
@@ -70,6 +73,9 @@
 // refreshReplicas triggers an immediate read of the list of replicas.
 func (s *storeSyncer) refreshReplicas() { notify(s.replicasRefresh) }
 
+// refreshCopy triggers an immediate read of the backup copy.
+func (s *storeSyncer) refreshCopy() { notify(s.copyRefresh) }
+
 // refreshAll triggers an immediate read of all topics, since the store has come back from an older copy.
 func (s *storeSyncer) refreshAll() {
 	notify(s.declarationsRefresh)
@@ -95,11 +101,24 @@
 	}, follow.WithInterval(vmsReadInterval), follow.WithWakeups(s.vmsRefresh))
 	copies := newCopies(s.store, s.eras)
 	stopBackground := runInBackground(declarations.Run, replicas.Run, vms.Run, s.announce,
-		func(ctx context.Context) { control.RestoreCopy(ctx, copies) }, func(ctx context.Context) { control.MaintainCopy(ctx, copies) })
+		func(ctx context.Context) { s.readCopies(ctx, control, copies) }, func(ctx context.Context) { control.MaintainCopy(ctx, copies) })
 	<-ctx.Done()
 	stopBackground()
 }
 
+// readCopies reads the backup copy when the process starts, and whenever copyRefresh is signaled.
+func (s *storeSyncer) readCopies(ctx context.Context, control *gateway.Controller, copies gateway.CopyStore) {
+	control.RestoreCopy(ctx, copies)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.copyRefresh:
+			control.ReadCopy(ctx, copies)
+		}
+	}
+}
+
 // applyDeclarations applies the newest declarations in the batch that can be decoded.
 func applyDeclarations(control *gateway.Controller, log *zap.Logger, batch follow.Batch) {
 	for i := len(batch.Records) - 1; i >= 0; i-- {
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -54,7 +54,7 @@
 		c.listSchedule.recordPeerRead(now.Add(-b.ListAge))
 	}
 	c.listSchedule.recordPeerChange(b.ListOffset)
-	c.refreshIfNewer(now, b.Version)
+	c.refreshIfNewer(now, b.VM, b.Version)
 }
 
 // processRun names one run of a peer's process.
@@ -68,8 +68,8 @@
 	case p.silent && !p.lastBeaconAt.IsZero():
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.lastBeaconAt)))
 	}
-	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.lastBeaconAt.IsZero()
-	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving = b.Incarnation, b.Sequence, now, false, b.Leaving
+	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.lastBeaconAt.IsZero() || !c.catchUp.done
+	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving, p.version = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version
 }
 
 // recordPeerStart records the first beacon of a process.
@@ -97,17 +97,6 @@
 	return a.Port == int(b.Port()) && a.IP.Equal(b.Addr().AsSlice())
 }
 
-// refreshIfNewer triggers a read of the declarations if a peer has a newer version. Triggers are rate limited, so that
-// beacons do not cause a storm of reads while the store does not respond.
-func (c *Controller) refreshIfNewer(now time.Time, version uint64) {
-	table := c.table.Load()
-	if table != nil && version <= table.Version || now.Sub(c.refreshedAt) < minRefreshInterval {
-		return
-	}
-	c.refreshedAt = now
-	c.refreshDeclarations()
-}
-
 func (c *Controller) sendBeaconIfDue(now time.Time) {
 	if c.beacon.dueIn(now, len(c.peers)) > 0 {
 		return
@@ -137,11 +126,7 @@
 
 // newBeacon returns a beacon with the state of this VM.
 func (c *Controller) newBeacon(now time.Time) peer.Beacon {
-	version := uint64(0)
-	if table := c.table.Load(); table != nil {
-		version = table.Version
-	}
-	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: version,
+	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: c.version(),
 		Leaving: c.leaving.Load(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
 		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
 		ListAge: -time.Millisecond, ListOffset: c.listSchedule.changedOffset}
--- /dev/null
+++ b/gateway/catch_up.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// catchUpWait is how long a VM that has just got its declarations waits to hear each peer that the store lists. It
+	// is longer than beaconInterval.
+	catchUpWait = 500 * time.Millisecond
+	// copyReadInterval is the minimum time between two reads of the backup copy.
+	copyReadInterval = time.Second
+)
+
+// catchUp decides whether a VM that has started may serve with its declarations. If the store has come back from an older
+// copy, it holds older declarations than the VMs that kept running, with keys that were withdrawn since. So the VM
+// compares its version with those of its peers, until it has been as new as all of them once. Afterwards it serves with
+// the newest version that it has read.
+type catchUp struct {
+	done bool
+	// since is when the VM got its first declarations.
+	since time.Time
+}
+
+// peerVersions is what a VM knows of the declarations of its peers.
+type peerVersions struct {
+	// complete is whether the store's list of VMs has been read and each VM on it has been heard lately.
+	complete bool
+	// newest is the newest version of the peers that have been heard lately.
+	newest uint64
+}
+
+// update decides again, with the version of the declarations in force, or 0 if there are none.
+func (u *catchUp) update(now time.Time, version uint64, peers peerVersions) {
+	if version == 0 || u.done {
+		return
+	}
+	if u.since.IsZero() {
+		u.since = now
+	}
+	if version >= peers.newest && (peers.complete || now.Sub(u.since) >= catchUpWait) {
+		u.done = true
+	}
+}
+
+// WithCopyReader sets the function that triggers a read of the backup copy. Declarations that peers have and the store
+// lacks are read from there, and a VM that starts is not ready before it has them.
+func WithCopyReader(read func()) Option {
+	return func(c *Controller) { c.readCopy, c.catchUp.done = read, false }
+}
+
+// updateCatchUp decides again whether this VM has caught up with its peers.
+func (c *Controller) updateCatchUp(now time.Time, peers peerVersions) {
+	if c.catchUp.done {
+		return
+	}
+	version := c.version()
+	c.catchUp.update(now, version, peers)
+	if !c.catchUp.done {
+		return
+	}
+	c.caughtUp.Store(true)
+	c.log.Info("caught-up", zap.Uint64("Version", version), zap.Uint64("NewestOfPeers", peers.newest), zap.Int("Peers", len(c.peers)),
+		zap.Bool("AllHeard", peers.complete), zap.Duration("Waited", now.Sub(c.catchUp.since)))
+}
+
+// version returns the version of the declarations in force, or 0 if there are none.
+func (c *Controller) version() uint64 {
+	if table := c.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// refreshIfNewer triggers a read of the declarations if a peer has a newer version, and of the backup copy if that read
+// did not find it. Triggers are rate limited, so that beacons do not cause a storm of reads while the store does not
+// respond.
+func (c *Controller) refreshIfNewer(now time.Time, peerName string, version uint64) {
+	if version <= c.version() || now.Sub(c.refreshedAt) < minRefreshInterval {
+		return
+	}
+	foundNothing := c.refreshedFor == version
+	c.refreshedAt, c.refreshedFor = now, version
+	c.refreshDeclarations()
+	if foundNothing && now.Sub(c.copyReadAt) >= copyReadInterval {
+		c.copyReadAt = now
+		c.log.Info("declarations-outdated", zap.Uint64("Version", c.version()), zap.String("Peer", peerName), zap.Uint64("VersionOfPeer", version),
+			zap.Bool("CaughtUp", c.catchUp.done))
+		c.readCopy()
+	}
+}
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -45,6 +45,10 @@
 	sendBeacon          func(peer.Beacon, []peerAddress) error
 	refreshDeclarations func()
 	readList            func()
+	// readCopy triggers a read of the backup copy.
+	readCopy func()
+	// caughtUp is whether this VM may serve with its declarations.
+	caughtUp atomic.Bool
 
 	// The fields below are only accessed by the control goroutine.
 	// observers are called whenever new declarations take effect.
@@ -62,8 +66,15 @@
 	pendingPlacements map[uint64]chan placement.Decision
 	lastID            uint64
 	startedAt         time.Time
-	refreshedAt       time.Time
-	beacon            beaconSchedule
+	catchUp           catchUp
+	// refreshedAt is when a read of the declarations was last triggered, because a peer has version refreshedFor, and
+	// copyReadAt when a read of the copy was.
+	refreshedAt  time.Time
+	refreshedFor uint64
+	copyReadAt   time.Time
+	// vmListRead is whether the store's list of VMs has been read.
+	vmListRead bool
+	beacon     beaconSchedule
 	// peersChanged is whether a peer has appeared, left or been heard again since updatePeers ran at peersUpdatedAt.
 	peersChanged   bool
 	peersUpdatedAt time.Time
@@ -97,7 +108,7 @@
 	limits := quota.NewReplicaLimits(self.VM)
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueueCapacity),
-		refreshDeclarations: func() {}, scheduler: placement.NewScheduler(zone, limits, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
+		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, scheduler: placement.NewScheduler(zone, limits, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), limits: limits, invalidLimits: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
@@ -105,6 +116,7 @@
 		opt(c)
 	}
 	c.startedAt = c.now()
+	c.caughtUp.Store(c.catchUp.done)
 	return c
 }
 
@@ -136,6 +148,9 @@
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
 	}
+	if !c.catchUp.done {
+		wake = min(wake, peerCheckInterval)
+	}
 	return max(wake, time.Millisecond)
 }
 
@@ -164,6 +179,7 @@
 			return
 		}
 		c.table.Store(table)
+		c.peersChanged = c.peersChanged || !c.catchUp.done
 		c.scheduler.SetPools(d.Pools)
 		c.configureQuotas(d.Accounts)
 		c.metrics.Version.Set(float64(d.Version))
@@ -194,8 +210,9 @@
 	c.quotas.RetainAccounts(names)
 }
 
-// Ready reports whether the VM accepts new connections: it has declarations and is not leaving.
-func (c *Controller) Ready() bool { return c.Table() != nil && !c.leaving.Load() }
+// Ready reports whether the VM accepts new connections: it has declarations, which are as new as those of its peers or were
+// so once, and is not leaving.
+func (c *Controller) Ready() bool { return c.caughtUp.Load() && c.Table() != nil && !c.leaving.Load() }
 
 // Leave marks the VM as leaving, so that it accepts no new connections, and announces this to its peers.
 func (c *Controller) Leave() {
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -124,15 +124,7 @@
 // RestoreCopy restores the state from the copy when the process starts, except for parts of which newer data has been
 // read already. It retries until the copy has been read or ctx is done.
 func (c *Controller) RestoreCopy(ctx context.Context, copies CopyStore) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
-		records, err := copies.Newest(callCtx)
-		cancel()
-		if err == nil {
-			c.applyCopy(records)
-			return
-		}
-		c.log.Info("copy-not-read", zap.Error(err))
+	for ctx.Err() == nil && !c.ReadCopy(ctx, copies) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(copyRetryDelay):
@@ -140,6 +132,19 @@
 	}
 }
 
+// ReadCopy reads the copy once and applies what is newer than the state of this VM. It returns false if it cannot be read.
+func (c *Controller) ReadCopy(ctx context.Context, copies CopyStore) bool {
+	callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	records, err := copies.Newest(callCtx)
+	if err != nil {
+		c.log.Info("copy-not-read", zap.Error(err))
+		return false
+	}
+	c.applyCopy(records)
+	return true
+}
+
 func (c *Controller) applyCopy(records []follow.Record) {
 	for _, record := range records {
 		var err error
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,6 +40,8 @@
 	lastBeaconAt time.Time
 	leaving      bool
 	silent       bool
+	// version is the version of its declarations.
+	version uint64
 }
 
 // ApplyVMRecords applies a batch of VM records. Invalid records are logged and skipped.
@@ -48,6 +50,7 @@
 		for _, record := range batch.Records {
 			c.applyVMRecord(record)
 		}
+		c.vmListRead, c.peersChanged = true, true
 	})
 }
 
@@ -101,9 +104,11 @@
 }
 
 // updatePeers marks peers as silent that have stopped sending beacons, and updates the number of members among which
-// the quotas and the retry budget are divided, and this VM's rank among those that read the replica list.
+// the quotas, the replicas' limits and the retry budget are divided, this VM's rank among those that read the replica list,
+// and whether it has caught up with its peers.
 func (c *Controller) updatePeers(now time.Time) {
 	count, silent, rank := 0, 0, 0
+	versions := peerVersions{complete: c.vmListRead}
 	var active []string
 	for name, p := range c.peers {
 		since := now.Sub(p.lastBeaconAt)
@@ -113,6 +118,11 @@
 		if since > silenceTimeout && !p.silent {
 			c.markSilent(name, p, since)
 		}
+		if p.silent || p.lastBeaconAt.IsZero() {
+			versions.complete = false
+		} else {
+			versions.newest = max(versions.newest, p.version)
+		}
 		if p.takesPrecedence(name, c.self.VM) {
 			rank++
 		}
@@ -133,6 +143,7 @@
 	c.scheduler.SetVMCount(count + 1)
 	c.quotas.SetPeerCounts(now, count, silent)
 	c.budget.setVMCount(count + 1)
+	c.updateCatchUp(now, versions)
 }
 
 // takesPrecedence reports whether the peer with this name comes before the VM self when one VM is to act for all.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -131,8 +131,8 @@
 // request did not run.
 func (s *Server) serve(r *request) *Error {
 	r.table = s.control.Table()
-	if r.table == nil {
-		return errorf("route", ErrNoDeclarations, "this VM has no declarations yet").withRetryAfter(noDeclarationsRetryAfter)
+	if r.table == nil || !s.control.caughtUp.Load() {
+		return errorf("route", ErrNoDeclarations, "this VM has no current declarations yet").withRetryAfter(noDeclarationsRetryAfter)
 	}
 	if reqErr := s.resolve(r); reqErr != nil {
 		return reqErr
