Ignore entries of a restored list that are older than what was read of the replica

What callers may see: requests go to replicas that are leaving or have gone, and fail or are cut when they end. Cause: after the store came back from an older copy, the entry that a replica had written before it began to leave was taken as its newest. Evidence: TestSiteRestoredEntryRevivesALeavingReplica failed for a replica that had gone (and, as it stands now, with another replica that refuses, for one that is leaving) and passes now; TestEntryVersions. Change: entries name their process's start and a sequence number; in the first list of a new era an entry that is older, or the last one of a replica that had gone, changes nothing. A replica that lives writes a newer one within its heartbeat. Ruled out: offsets (they go back) and the state alone (a replica may start again under its ID). Conclusion: mended for what this VM has read; a VM that starts then cannot know.

--- a/gateway/controller_test.go
+++ b/gateway/controller_test.go
@@ -142,11 +142,11 @@
 }
 
 func TestReplicaUpdate(t *testing.T) {
-	decode := func(id string, data []byte) (placement.Replica, error) {
+	decode := func(id string, data []byte) (ReplicaEntry, error) {
 		if string(data) == "bad" {
-			return placement.Replica{}, errors.New("bad")
+			return ReplicaEntry{}, errors.New("bad")
 		}
-		return testReplica(id), nil
+		return ReplicaEntry{Replica: testReplica(id)}, nil
 	}
 	update := NewReplicaUpdate(follow.Batch{Records: []follow.Record{
 		{Key: "late", Value: []byte("x"), Offset: 9}, {Key: "gone", Value: []byte("x"), Offset: 2}, {Key: "gone", Offset: 3},
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -25,10 +25,11 @@
 	doubtful map[string]bool
 	// everRead is whether the list has been read since the process started.
 	everRead bool
+	versions entryVersions
 }
 
 func newReplicaList() replicaList {
-	return replicaList{doubtful: map[string]bool{}}
+	return replicaList{doubtful: map[string]bool{}, versions: newEntryVersions()}
 }
 
 // ReplicaUpdate holds the changes that one batch of the replica list describes.
@@ -49,11 +50,13 @@
 	Next uint64
 	// offsets maps the ID of each replica to the offset of its entry.
 	offsets map[string]uint64
+	// versions maps the ID of each listed replica to the version of its entry.
+	versions map[string]EntryVersion
 }
 
 // NewReplicaUpdate decodes a batch of the replica list. Only the newest record of each replica counts.
-func NewReplicaUpdate(batch follow.Batch, decode func(id string, data []byte) (placement.Replica, error)) ReplicaUpdate {
-	update := ReplicaUpdate{Snapshot: batch.Snapshot, Outage: batch.Outage, Restored: batch.Restored, Next: batch.NextOffset, offsets: map[string]uint64{}}
+func NewReplicaUpdate(batch follow.Batch, decode func(id string, data []byte) (ReplicaEntry, error)) ReplicaUpdate {
+	update := ReplicaUpdate{Snapshot: batch.Snapshot, Outage: batch.Outage, Restored: batch.Restored, Next: batch.NextOffset, offsets: map[string]uint64{}, versions: map[string]EntryVersion{}}
 	newest := map[string]follow.Record{}
 	for _, record := range batch.Records {
 		newest[record.Key] = record
@@ -68,13 +71,14 @@
 			update.Removed = append(update.Removed, id)
 			continue
 		}
-		replica, err := decode(id, record.Value)
+		entry, err := decode(id, record.Value)
 		if err != nil {
 			update.Unreadable = append(update.Unreadable, err)
 			update.Removed = append(update.Removed, id)
 			continue
 		}
-		update.Listed = append(update.Listed, replica)
+		update.Listed = append(update.Listed, entry.Replica)
+		update.versions[id] = entry.Version
 	}
 	return update
 }
@@ -100,6 +104,10 @@
 	for _, replica := range update.Listed {
 		old, exists := known[replica.ID]
 		delete(known, replica.ID)
+		if c.isOutdated(update, replica.ID) {
+			continue
+		}
+		c.replicas.versions.record(replica.ID, update.versions[replica.ID])
 		delete(c.replicas.doubtful, replica.ID)
 		if exists && old == replica {
 			continue
@@ -135,6 +143,7 @@
 		return
 	}
 	c.scheduler.RemoveReplica(replica.ID)
+	c.replicas.versions.recordGone(now, replica.ID)
 	c.log.Info("replica-gone", zap.String("Replica", replica.ID), zap.String("Address", replica.Address), zap.Bool("Leaving", replica.Leaving))
 }
 
@@ -150,6 +159,7 @@
 	}
 	for id := range c.replicas.doubtful {
 		c.scheduler.RemoveReplica(id)
+		c.replicas.versions.recordGone(now, id)
 		c.log.Info("replica-gone", zap.String("Replica", id), zap.Bool("Doubtful", true))
 	}
 	clear(c.replicas.doubtful)
--- a/integration/site_restored_store_test.go
+++ b/integration/site_restored_store_test.go
@@ -121,6 +121,7 @@
 	})
 	runsOf := func(id string) int { return len(s.replicas[id].Runs()) }
 	leaving, gone := runsOf("s-0"), runsOf("d-0")
+	s.replicas["s-1"].SetFaults(standin.ReplicaFaults{Refuse: true})
 	s.store.Restore(older)
 	for deadline := time.Now().Add(entryRewriteDelay); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		s.send(v, siteRequest{path: "/status/a"})
