Compare announcements of list changes within one era of the store

What callers may see: requests go to a leaving replica for up to ten seconds, until a VM reads the list by itself. Cause: a VM kept the highest offset that it had ever read; once offsets had gone back, a peer's announcement of a change is below it. The simulation's own check no longer uses the comparison that it checks. Change: positions of the list hold in an era, and beacons name it (ListEra). A read in a new era is announced as a change. Ruled out: forgetting the own offset on a restore alone; a peer's offset of the other era would still be compared.

--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -53,7 +53,7 @@
 	if b.ListAge >= 0 && !b.Leaving {
 		c.listSchedule.recordPeerRead(now.Add(-b.ListAge))
 	}
-	c.listSchedule.recordPeerChange(b.ListOffset)
+	c.listSchedule.recordPeerChange(listPosition{b.ListEra, b.ListOffset})
 	c.refreshIfNewer(now, b.VM, b.Version)
 }
 
@@ -129,7 +129,7 @@
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: c.version(),
 		Leaving: c.leaving.Load(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
 		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
-		ListAge: -time.Millisecond, ListOffset: c.listSchedule.changedOffset}
+		ListAge: -time.Millisecond, ListEra: c.listSchedule.changed.era, ListOffset: c.listSchedule.changed.offset}
 	if now.Before(c.advertiseLevelsUntil) {
 		b.BucketLevels = c.quotas.Levels(now)
 	}
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -24,6 +24,20 @@
 	changeReadIntervalPerVM = 12 * time.Millisecond
 )
 
+// listPosition is the offset after a record of the replica list. It holds in one era of the store: in the next one,
+// the same offset names another record.
+type listPosition struct {
+	era, offset uint64
+}
+
+// after reports whether p is further than other.
+func (p listPosition) after(other listPosition) bool {
+	if p.era != other.era {
+		return p.era > other.era
+	}
+	return p.offset > other.offset
+}
+
 // listReadSchedule decides when this VM reads the replica list. Entries are rewritten all the time but seldom change,
 // so one VM polls the list on behalf of all, and announces changes in its beacons. When its reads stop, others take
 // over.
@@ -31,9 +45,9 @@
 	// readAt is when the list was last read, and requestedAt when a read was last triggered.
 	readAt      time.Time
 	requestedAt time.Time
-	// nextOffset is the offset after the last record read, and changedOffset the offset after the last change seen.
-	nextOffset    uint64
-	changedOffset uint64
+	// next is the position after the last record read, and changed the position after the last change seen.
+	next    listPosition
+	changed listPosition
 	// rank is the number of VMs that take precedence over this one, and peerReadAt when a peer last read the list.
 	rank       int
 	peerReadAt time.Time
@@ -43,13 +57,27 @@
 	stale bool
 }
 
-func (l *listReadSchedule) recordRead(now time.Time, next uint64) {
-	l.readAt, l.nextOffset, l.stale = now, max(l.nextOffset, next), false
+// recordRead records a read of the list up to next. A read in a new era is a change by itself.
+func (l *listReadSchedule) recordRead(now time.Time, next listPosition) {
+	if next.era != l.next.era {
+		l.recordChange(listPosition{era: next.era})
+	}
+	if next.after(l.next) {
+		l.next = next
+	}
+	l.readAt, l.stale = now, false
+}
+
+// recordChange records that the list has changed before position changed.
+func (l *listReadSchedule) recordChange(changed listPosition) {
+	if changed.after(l.changed) {
+		l.changed = changed
+	}
 }
 
-// recordPeerChange marks the list as stale if changed, the offset after a peer's last change, has not been read yet.
-func (l *listReadSchedule) recordPeerChange(changed uint64) {
-	if changed > l.nextOffset {
+// recordPeerChange marks the list as stale if changed, the position after a peer's last change, has not been read yet.
+func (l *listReadSchedule) recordPeerChange(changed listPosition) {
+	if changed.after(l.next) {
 		l.stale = true
 	}
 }
@@ -84,7 +112,7 @@
 
 // recordListChange records the offset of an entry that changed the set of replicas, and announces it to the peers.
 func (c *Controller) recordListChange(offset uint64) {
-	c.listSchedule.changedOffset = max(c.listSchedule.changedOffset, offset+1)
+	c.listSchedule.recordChange(listPosition{c.listSchedule.next.era, offset + 1})
 	c.beacon.dirty = true
 }
 
--- a/gateway/list_reads_test.go
+++ b/gateway/list_reads_test.go
@@ -38,10 +38,10 @@
 	partitioned func(a, b int, at time.Duration) bool
 }
 
-// simulateReads simulates seven VMs for the given time, with a beacon loss of 5%. change returns the offset of the last
-// change of the list at a time, and vmCount the number of VMs for which the reads are paced. It returns the number of reads, and the longest time until a VM that reaches the store
+// simulateReads simulates seven VMs for the given time, with a beacon loss of 5%. change returns the position of the
+// last change of the list at a time, and vmCount the number of VMs for which the reads are paced. It returns the number of reads, and the longest time until a VM that reaches the store
 // knew of a change.
-func simulateReads(length time.Duration, vmCount int, change func(time.Duration) uint64, f faults) (reads int, maxDelay time.Duration) {
+func simulateReads(length time.Duration, vmCount int, change func(time.Duration) listPosition, f faults) (reads int, maxDelay time.Duration) {
 	const vms = 7
 	random := rand.New(rand.NewPCG(1, 2))
 	var readers [vms]*simulatedVM
@@ -52,8 +52,8 @@
 	changedAt := time.Duration(0)
 	for at := simulationStep; at < length; at += simulationStep {
 		now := start.Add(at)
-		offset := change(at)
-		if offset != change(at-simulationStep) {
+		changed := change(at)
+		if changed != change(at-simulationStep) {
 			changedAt = at
 		}
 		for i, r := range readers {
@@ -63,9 +63,9 @@
 				storeDownAt[i] = at
 			} else if r.dueIn(now) <= 0 {
 				reads++
-				dirty = offset > r.changedOffset
-				r.changedOffset = offset
-				r.recordRead(now, offset)
+				dirty = changed.after(r.changed)
+				r.recordRead(now, changed)
+				r.recordChange(changed)
 			}
 			if dirty || at-beaconAt[i] >= beaconInterval {
 				beaconAt[i] = at
@@ -73,11 +73,11 @@
 					if j != i && !f.partitioned(i, j, at) && random.Float64() > 0.05 {
 						other.lastBeaconAt[i] = now
 						other.recordPeerRead(r.readAt)
-						other.recordPeerChange(r.changedOffset)
+						other.recordPeerChange(r.changed)
 					}
 				}
 			}
-			if r.nextOffset < offset && storeDownAt[i] < changedAt {
+			if r.next != changed && storeDownAt[i] < changedAt {
 				maxDelay = max(maxDelay, at-changedAt)
 			}
 		}
@@ -90,17 +90,25 @@
 
 // periodicChanges returns the last offset of a list that changes every 3.17 s, so that changes fall on varying moments
 // between two reads.
-func periodicChanges(at time.Duration) uint64 { return uint64(at / (3170 * time.Millisecond)) }
+func periodicChanges(at time.Duration) listPosition {
+	return listPosition{offset: uint64(at / (3170 * time.Millisecond))}
+}
+
+// changesWithRestores is periodicChanges of a store that comes back from an older copy every 13 s: the offsets go back.
+func changesWithRestores(at time.Duration) listPosition {
+	const interval = 13 * time.Second
+	return listPosition{era: uint64(at / interval), offset: uint64(at%interval/(3170*time.Millisecond)) + 2}
+}
 
 func TestOneVMReadsTheListForAll(t *testing.T) {
 	const length = 60 * time.Second
 	t.Run("without changes or faults", func(t *testing.T) {
-		reads, _ := simulateReads(length, 7, func(time.Duration) uint64 { return 1 }, faults{noOutage, noPartition})
+		reads, _ := simulateReads(length, 7, func(time.Duration) listPosition { return listPosition{offset: 1} }, faults{noOutage, noPartition})
 		perVM := int(length / listReadInterval)
 		assert.Less(t, reads, 3*perVM, "fewer reads than three of the seven VMs polling on their own")
 	})
 	t.Run("constant changes at a large fleet", func(t *testing.T) {
-		reads, _ := simulateReads(length, 95, func(at time.Duration) uint64 { return uint64(at / time.Second * 5) }, faults{noOutage, noPartition})
+		reads, _ := simulateReads(length, 95, func(at time.Duration) listPosition { return listPosition{offset: uint64(at / time.Second * 5)} }, faults{noOutage, noPartition})
 		assert.LessOrEqual(t, reads, 7*int(length/maxChangeReadInterval)+int(length/listReadInterval), "each VM reads at most once in maxChangeReadInterval")
 	})
 	afterStart := func(at time.Duration) bool { return at > 10*time.Second }
@@ -118,9 +126,11 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			for _, vmCount := range []int{7, 95} {
-				_, maxDelay := simulateReads(length, vmCount, periodicChanges, s.faults)
-				assert.Less(t, maxDelay, maxChangeDelay, "%d VMs", vmCount)
-				t.Logf("changes were known after at most %v with reads paced for %d VMs", maxDelay, vmCount)
+				for _, change := range []func(time.Duration) listPosition{periodicChanges, changesWithRestores} {
+					_, maxDelay := simulateReads(length, vmCount, change, s.faults)
+					assert.Less(t, maxDelay, maxChangeDelay, "%d VMs", vmCount)
+					t.Logf("changes were known after at most %v with reads paced for %d VMs", maxDelay, vmCount)
+				}
 			}
 		})
 	}
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -46,8 +46,8 @@
 	Outage time.Duration
 	// Restored is whether the store has come back from an older copy since the last update.
 	Restored bool
-	// Next is the offset after the last record that was read.
-	Next uint64
+	// Next is the offset after the last record that was read, in an era of the store.
+	Era, Next uint64
 	// offsets maps the ID of each replica to the offset of its entry.
 	offsets map[string]uint64
 	// versions maps the ID of each listed replica to the version of its entry.
@@ -56,7 +56,7 @@
 
 // NewReplicaUpdate decodes a batch of the replica list. Only the newest record of each replica counts.
 func NewReplicaUpdate(batch follow.Batch, decode func(id string, data []byte) (ReplicaEntry, error)) ReplicaUpdate {
-	update := ReplicaUpdate{Snapshot: batch.Snapshot, Outage: batch.Outage, Restored: batch.Restored, Next: batch.NextOffset, offsets: map[string]uint64{}, versions: map[string]EntryVersion{}}
+	update := ReplicaUpdate{Snapshot: batch.Snapshot, Outage: batch.Outage, Restored: batch.Restored, Era: batch.Era, Next: batch.NextOffset, offsets: map[string]uint64{}, versions: map[string]EntryVersion{}}
 	newest := map[string]follow.Record{}
 	for _, record := range batch.Records {
 		newest[record.Key] = record
@@ -90,7 +90,7 @@
 
 func (c *Controller) applyReplicas(now time.Time, update ReplicaUpdate) {
 	c.replicas.everRead = true
-	c.listSchedule.recordRead(now, update.Next)
+	c.listSchedule.recordRead(now, listPosition{update.Era, update.Next})
 	if update.Outage > 0 || update.Restored {
 		c.replicas.trustFrom = now.Add(recoveryGrace)
 	}
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -54,8 +54,9 @@
 	// ListAge is the time since the list of replicas was last read, at the time of sending. It is negative if the
 	// list has never been read.
 	ListAge time.Duration
-	// ListOffset is the offset that follows the last record that changed the set of known replicas.
-	ListOffset uint64
+	// ListOffset is the offset that follows the last record that changed the set of known replicas, in era ListEra of the
+	// store.
+	ListEra, ListOffset uint64
 }
 
 // BeaconSocket sends and receives beacons over UDP.
