Spend no part of the retry slack before the number of VMs is known

Cause (suspected): a VM that has not read the list of VMs divided the slack by one, so each of 85 that start together may spend 31 retries a pool at once and up to 157 later. Change: until the list of VMs has been read a VM retries by the ratio of its own requests alone, one at a time. Ruled out: readiness that waits for the list (its topic may be silent for seconds). TestRetryBudgetsOfPoolsAreIndependent now says that its VM is alone.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -37,7 +37,7 @@
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas),
-			gateway.WithCopyReader(syncer.refreshCopy)},
+			gateway.WithSharedStore(syncer.refreshCopy)},
 		reload: func(*gateway.Controller) error { return nil },
 	}, closeClient
 }
--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -45,10 +45,11 @@
 	}
 }
 
-// WithCopyReader sets the function that triggers a read of the backup copy. Declarations that peers have and the store
-// lacks are read from there, and a VM that starts is not ready before it has them.
-func WithCopyReader(read func()) Option {
-	return func(c *Controller) { c.readCopy, c.catchUp.done = read, false }
+// WithSharedStore makes a VM that starts compare itself with its peers, which read the same store: it is not ready before
+// its declarations are as new as theirs, and takes no part of what is divided among the VMs before the list of VMs has been
+// read. readCopy triggers a read of the backup copy, where declarations are found that peers have and the store lacks.
+func WithSharedStore(readCopy func()) Option {
+	return func(c *Controller) { c.readCopy, c.catchUp.done, c.vmListRead = readCopy, false, false }
 }
 
 // updateCatchUp decides again whether this VM has caught up with its peers.
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -72,7 +72,7 @@
 	refreshedAt  time.Time
 	refreshedFor uint64
 	copyReadAt   time.Time
-	// vmListRead is whether the store's list of VMs has been read.
+	// vmListRead is whether the list of VMs has been read, or need not be.
 	vmListRead bool
 	beacon     beaconSchedule
 	// peersChanged is whether a peer has appeared, left or been heard again since updatePeers ran at peersUpdatedAt.
@@ -108,7 +108,7 @@
 	limits := quota.NewReplicaLimits(self.VM)
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueueCapacity),
-		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, scheduler: placement.NewScheduler(zone, limits, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
+		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, scheduler: placement.NewScheduler(zone, limits, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), limits: limits, invalidLimits: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -142,7 +142,9 @@
 	c.listSchedule.rank, c.listSchedule.vmCount = rank, count+1
 	c.scheduler.SetVMCount(count + 1)
 	c.quotas.SetPeerCounts(now, count, silent)
-	c.budget.setVMCount(count + 1)
+	if c.vmListRead {
+		c.budget.setVMCount(count + 1)
+	}
 	c.updateCatchUp(now, versions)
 }
 
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -15,14 +15,18 @@
 	capacityShare = 0.75
 	initialShare  = 0.15
 	refillShare   = 0.1
+	// unknownFleetCapacity is the number of retries that may accumulate while the number of VMs is not known. They come
+	// from the ratio alone: an unknown part of the slack is none.
+	unknownFleetCapacity = 1
 )
 
 // retryBudget limits how many retries this VM sends to each pool. It is this VM's part of a budget for all VMs: the
-// ratio of its own requests, and an equal part of the slack.
+// ratio of its own requests, and an equal part of the slack once the number of VMs is known.
 type retryBudget struct {
-	ratio   float64
-	slack   float64
-	window  time.Duration
+	ratio  float64
+	slack  float64
+	window time.Duration
+	// vmCount is the number of VMs that share the slack, or 0 as long as it is not known.
 	vmCount int
 	pools   map[string]*poolBudget
 }
@@ -34,22 +38,44 @@
 }
 
 func newRetryBudget(ratio, slack float64, window time.Duration) *retryBudget {
-	return &retryBudget{ratio: ratio, slack: slack, window: window, vmCount: 1, pools: map[string]*poolBudget{}}
+	return &retryBudget{ratio: ratio, slack: slack, window: window, pools: map[string]*poolBudget{}}
 }
 
 // setVMCount sets the number of VMs among which the slack is divided.
-func (b *retryBudget) setVMCount(n int) { b.vmCount = max(1, n) }
+func (b *retryBudget) setVMCount(n int) {
+	first := b.vmCount == 0
+	b.vmCount = max(1, n)
+	if !first {
+		return
+	}
+	for _, p := range b.pools {
+		p.available += initialShare * b.ownSlack()
+	}
+}
+
+// ownSlack returns this VM's part of the slack.
+func (b *retryBudget) ownSlack() float64 {
+	if b.vmCount == 0 {
+		return 0
+	}
+	return b.slack / float64(b.vmCount)
+}
 
 // capacity returns the maximum number of retries that may accumulate for a pool.
-func (b *retryBudget) capacity() float64 { return capacityShare * b.slack / float64(b.vmCount) }
+func (b *retryBudget) capacity() float64 {
+	if b.vmCount == 0 {
+		return unknownFleetCapacity
+	}
+	return capacityShare * b.ownSlack()
+}
 
 func (b *retryBudget) refill(now time.Time, name string) *poolBudget {
 	p := b.pools[name]
 	if p == nil {
-		p = &poolBudget{available: initialShare * b.slack / float64(b.vmCount), refilledAt: now}
+		p = &poolBudget{available: initialShare * b.ownSlack(), refilledAt: now}
 		b.pools[name] = p
 	}
-	refillRate := refillShare * b.slack / float64(b.vmCount) / b.window.Seconds()
+	refillRate := refillShare * b.ownSlack() / b.window.Seconds()
 	p.available = min(p.available+refillRate*now.Sub(p.refilledAt).Seconds(), b.capacity())
 	p.refilledAt = now
 	return p
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -11,7 +11,7 @@
 var start = time.Unix(1_000_000, 0)
 
 // TestRetriesOfAllVMsStayWithinBudget lets every VM retry whenever its budget allows, under random load, and restarts
-// all VMs at once. In no window may the retries of all VMs exceed the slack plus the ratio of the requests in that
+// all VMs at once, which then do not know of each other for a while. In no window may the retries of all VMs exceed the slack plus the ratio of the requests in that
 // window or in one that begins up to a window earlier.
 func TestRetriesOfAllVMsStayWithinBudget(t *testing.T) {
 	const (
@@ -29,6 +29,7 @@
 			budgets[i].setVMCount(vms)
 		}
 		restartAt := rapid.IntRange(1, steps-1).Draw(t, "restart step")
+		knownAt := restartAt + rapid.IntRange(0, 150).Draw(t, "steps without knowing the other VMs")
 		load := rapid.SliceOfN(rapid.IntRange(0, 20), 8, 8).Draw(t, "requests per VM and step")
 		requests, retries := make([]int, steps), make([]int, steps)
 		for n := range steps {
@@ -36,7 +37,11 @@
 			if n == restartAt {
 				for i := range budgets {
 					budgets[i] = newRetryBudget(ratio, slack, window)
-					budgets[i].setVMCount(vms)
+				}
+			}
+			if n == knownAt {
+				for _, b := range budgets {
+					b.setVMCount(vms)
 				}
 			}
 			for i, b := range budgets {
@@ -69,6 +74,7 @@
 
 func TestRetryBudgetsOfPoolsAreIndependent(t *testing.T) {
 	b := newRetryBudget(0.2, 10, 10*time.Second)
+	b.setVMCount(1)
 	taken := 0
 	for b.take(start, "one", 1) {
 		taken++
@@ -77,3 +83,43 @@
 	assert.True(t, b.take(start, "two", 1))
 	assert.True(t, b.take(start.Add(20*time.Second), "one", 1), "the slack is refilled over time")
 }
+
+// TestVMsThatDoNotKnowTheFleetSpendItsSlackEach guards against a start of all VMs at which each takes the slack for its own.
+func TestVMsThatDoNotKnowTheFleetSpendItsSlackEach(t *testing.T) {
+	const (
+		vms             = 85
+		slack           = 210.0
+		window          = 10 * time.Second
+		requestInterval = time.Second
+	)
+	scenarios := []struct {
+		name    string
+		knownAt time.Duration
+	}{
+		{"the list of VMs is read late", 9 * time.Second},
+		{"the list of VMs is read at once", 0},
+		{"the list of VMs is never read", time.Hour},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			retries, requests := 0, 0
+			for range vms {
+				b := newRetryBudget(0.2, slack, window)
+				for at := time.Duration(0); at < window; at += 10 * time.Millisecond {
+					if at == scenario.knownAt {
+						b.setVMCount(vms)
+					}
+					if at%requestInterval == 0 {
+						b.recordRequest(start.Add(at), "p")
+						requests++
+					}
+					for b.take(start.Add(at), "p", 1) {
+						retries++
+					}
+				}
+			}
+			assert.LessOrEqual(t, float64(retries), 0.2*float64(requests)+slack)
+			assert.Positive(t, retries, "the ratio holds without the slack")
+		})
+	}
+}
