Blame no engine for a caller who leaves at the end of a stream

What callers may see: an engine is avoided and its stream run again for callers who had left. Cause: at the end of a resumable stream a failed write was returned as it came, and counted as a failure of the engine; three other places wrapped it, each by itself. Evidence: TestCallerWhoLeavesAtTheLastEventIsAFailureOfTheUpstream failed and passes now. Change: the one function that writes to the caller names the kind of its error. Ruled out: nothing. Measured: all site tests pass. Conclusion: mended.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -85,7 +85,7 @@
 			started = true
 			complete := pending[:end]
 			if writeErr := w.writeAndFlush(complete); writeErr != nil {
-				return lastID, &Error{Op: "write response", Kind: ErrCallerGone, Err: writeErr}
+				return lastID, writeErr
 			}
 			if id, found := lastEventID(complete); found {
 				lastID = id
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -1,10 +1,18 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/exchange"
 )
 
 func TestCompleteEvents(t *testing.T) {
@@ -56,3 +64,39 @@
 		})
 	}
 }
+
+// goneCaller is a caller that disconnects after a number of writes.
+type goneCaller struct {
+	*httptest.ResponseRecorder
+	writes int
+}
+
+func (g *goneCaller) Write(p []byte) (int, error) {
+	if g.writes == 0 {
+		return 0, errors.New("broken pipe")
+	}
+	g.writes--
+	return g.ResponseRecorder.Write(p)
+}
+
+// TestCallerWhoLeavesAtTheLastEventIsAFailureOfTheUpstream guards against blaming an engine for a caller that has left.
+func TestCallerWhoLeavesAtTheLastEventIsAFailureOfTheUpstream(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n")
+	}))
+	t.Cleanup(upstream.Close)
+	client, closeClient := exchange.NewClient()
+	t.Cleanup(closeClient)
+	for writes := range 2 {
+		resp, err := client.Do(context.Background(), upstream.Listener.Addr().String(), exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+		require.NoError(t, err)
+		defer resp.Close()
+		caller := &goneCaller{ResponseRecorder: httptest.NewRecorder(), writes: writes}
+		w := &responseWriter{ResponseWriter: caller, controller: http.NewResponseController(caller.ResponseRecorder)}
+		_, err = w.copyEvents(resp, "")
+		var own *Error
+		if assert.ErrorAs(t, err, &own, "%d writes", writes) {
+			assert.Equal(t, ErrCallerGone, own.Kind)
+		}
+	}
+}
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -86,20 +86,24 @@
 	}
 }
 
-// writeAndFlush writes a part of the body and flushes it, so that streams are not delayed by buffering.
+// writeAndFlush writes a part of the body and flushes it, so that streams are not delayed by buffering. If that fails it
+// returns an Error of kind ErrCallerGone.
 func (w *responseWriter) writeAndFlush(p []byte) error {
 	if w.bytes == 0 && w.onFirstByte != nil {
 		w.onFirstByte()
 	}
 	n, err := w.Write(p)
 	w.bytes += int64(n)
+	if err == nil {
+		err = w.controller.Flush()
+	}
 	if err != nil {
-		return err
+		return &Error{Op: "write response", Kind: ErrCallerGone, Err: err}
 	}
 	if w.onWrite != nil {
 		w.onWrite()
 	}
-	return w.controller.Flush()
+	return nil
 }
 
 // copyBody streams the body of a response to the caller. If writing fails it returns an Error of kind ErrCallerGone;
@@ -127,7 +131,7 @@
 		if n > 0 {
 			observe(buffer[:n])
 			if writeErr := w.writeAndFlush(buffer[:n]); writeErr != nil {
-				return &Error{Op: "write response", Kind: ErrCallerGone, Err: writeErr}
+				return writeErr
 			}
 		}
 		if err == io.EOF {
