--- a/review/site/desk.go
+++ b/review/site/desk.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,9 @@
 	Work time.Duration
 	// Endless is the trouble of the desk, or nil.
 	Endless *EndlessTrouble
+	// StrayShare is the share of its answers after which the server sends additional bytes: the answer to a status check,
+	// which bears no attempt ID. They are sent late, before the next answer on the channel.
+	StrayShare float64
 }
 
 // EndlessTrouble makes a server answer some requests with bytes that are no answer, until their channel is closed. It
@@ -34,7 +38,9 @@
 }
 
 // NewDesks returns an empty set of desks.
-func (s *Site) NewDesks() *Desks { return &Desks{site: s, runs: map[string]string{}} }
+func (s *Site) NewDesks() *Desks {
+	return &Desks{site: s, runs: map[string]string{}}
+}
 
 // RanAt returns the ID of the sound server that ran an attempt, or "".
 func (d *Desks) RanAt(attempt string) string {
@@ -50,6 +56,8 @@
 
 	mu       sync.Mutex
 	requests int
+	answers  int
+	strays   int
 }
 
 // troubled reports whether the next request is answered with bytes without end.
@@ -92,6 +100,25 @@
 	d.all.site.Record.Printf("%s runs %s", d.ID, attempt)
 	time.Sleep(d.Work)
 	_ = channel.Answer(req, http.StatusOK, map[string]string{"Response-Signature": "sig." + d.ID}, "done "+attempt)
+	if d.stray() {
+		channel.Late = []byte(fmt.Sprintf(statusCheckAnswer, d.ID))
+		d.all.site.Record.Printf("%s will send additional bytes after its answer to %s", d.ID, attempt)
+	}
+}
+
+// statusCheckAnswer is the answer to a status check, with the ID of the server.
+const statusCheckAnswer = "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nInstance-Load: 0,0,6\r\nContent-Length: 0\r\n\r\n"
+
+// stray reports whether additional bytes follow the answer that was just sent.
+func (d *desk) stray() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answers++
+	if float64(d.strays+1) > d.StrayShare*float64(d.answers) {
+		return false
+	}
+	d.strays++
+	return true
 }
 
 const (
