--- a/review/site/case.go
+++ b/review/site/case.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -35,6 +38,26 @@
 	os.Exit(code)
 }
 
+// maxCaseTime is the time after which a case is given up.
+const maxCaseTime = 115 * time.Second
+
+// guardProcesses ends everything that the site started, and the case, if a signal ends it or it takes too long. The
+// returned function ends the guard.
+func guardProcesses(closeSite func()) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	timer := time.AfterFunc(maxCaseTime, func() { signals <- syscall.SIGTERM })
+	go func() {
+		<-signals
+		closeSite()
+		os.Exit(exitNotRun)
+	}()
+	return func() {
+		timer.Stop()
+		signal.Stop(signals)
+	}
+}
+
 func run(name string, play func(*Site) (Verdict, error)) (int, error) {
 	record, closeRecord, err := NewRecord(filepath.Join("review", name, "record.txt"))
 	if err != nil {
@@ -46,6 +69,8 @@
 		return exitNotRun, err
 	}
 	defer closeSite()
+	stopGuard := guardProcesses(closeSite)
+	defer stopGuard()
 	record.Sayf("case %s, trouble %t", name, Trouble())
 	verdict, err := play(s)
 	switch {
