--- a/exchange/client.go
+++ b/exchange/client.go
@@ -33,6 +33,10 @@
 	maxIdleConnsPerAddr = 16
 	// maxMismatchedResponses is how many responses to other requests are skipped before the request fails.
 	maxMismatchedResponses = 2
+	// maxHeadBytes bounds what is read from an upstream until the headers of the final response are complete, including
+	// 1xx responses. maxSkippedBytes bounds the body of a response to another request.
+	maxHeadBytes    = 32 << 10
+	maxSkippedBytes = 1 << 20
 	// maxDrainBytes is the length of the longest body that Close drains so that the connection can be reused.
 	maxDrainBytes = 4 << 10
 	// headSizeHint is the initial buffer capacity for a request line and headers.
@@ -262,8 +266,10 @@
 }
 
 // readResponse reads the headers of the final response. It skips 1xx responses, and up to maxMismatchedResponses
-// late responses to other requests.
+// late responses to other requests. It stops reading from an upstream that sends bytes without end.
 func readResponse(connection *conn, req *http.Request, accept func(http.Header) bool) (*http.Response, error) {
+	connection.limit.remaining = maxHeadBytes
+	defer func() { connection.limit.remaining = noLimit }()
 	for mismatched := 0; ; {
 		resp, err := http.ReadResponse(connection.reader, req)
 		if err != nil {
@@ -280,9 +286,11 @@
 			return resp, nil
 		}
 		mismatched++
+		connection.limit.remaining = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil || mismatched > maxMismatchedResponses || resp.Close {
 			return nil, errors.New("the answer belongs to another request")
 		}
+		connection.limit.remaining = maxHeadBytes
 	}
 }
 
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -18,17 +20,45 @@
 	keepAliveProbes   = 2
 )
 
+// errHeadTooLong means that an upstream sent more than the limit without completing the headers of a response.
+var errHeadTooLong = errors.New("the upstream sent too many bytes before the headers of its response were complete")
+
 // conn is a connection to an upstream. It has at most one request in flight.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit bounds what reader takes from the connection.
+	limit *limitedReader
 	// usableUntil is the time after which the idle connection is not reused, because the upstream may close it.
 	usableUntil time.Time
 	idleSince   time.Time
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limit := &limitedReader{src: raw, remaining: noLimit}
+	return &conn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+}
+
+// noLimit is the value of limitedReader.remaining for an unlimited reader.
+const noLimit = -1
+
+// limitedReader reads from src, and fails with errHeadTooLong once remaining bytes have been read.
+type limitedReader struct {
+	src       io.Reader
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remaining == noLimit {
+		return l.src.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.src.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // healthy reports whether the idle connection is still open and has no unread data. Data that arrives while no
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -234,6 +234,69 @@
 	})
 }
 
+// TestEndlessResponseFillsMemory guards against bytes without end in place of a response, which are kept or awaited until
+// the deadline of the request.
+func TestEndlessResponseFillsMemory(t *testing.T) {
+	const foreign = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1000000000\r\n\r\n"
+	scenarios := []struct {
+		name, start, repeated string
+		limit                 int
+	}{
+		{name: "status line", repeated: "x", limit: maxHeadBytes},
+		{name: "header line", start: "HTTP/1.1 200 OK\r\nEndless: ", repeated: "x", limit: maxHeadBytes},
+		{name: "header fields", start: "HTTP/1.1 200 OK\r\n", repeated: "A: b\r\n", limit: maxHeadBytes},
+		{name: "1xx responses", repeated: "HTTP/1.1 103 Early Hints\r\n\r\n", limit: maxHeadBytes},
+		{name: "response to another request", start: foreign, repeated: "x", limit: maxHeadBytes + maxSkippedBytes},
+		{name: "header fields after a response to another request", start: "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", repeated: "A: b\r\n",
+			limit: 2*maxHeadBytes + maxSkippedBytes},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			clientEnd, upstreamEnd := net.Pipe()
+			defer upstreamEnd.Close()
+			sent := make(chan int, 1)
+			go func() {
+				readRequest(bufio.NewReader(upstreamEnd))
+				sent <- writeEndlessly(upstreamEnd, s.start, s.repeated, 2*s.limit)
+			}()
+			c := newClient(t)
+			c.dial = func(context.Context, string, string) (net.Conn, error) { return clientEnd, nil }
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			resp, err := c.Do(ctx, "upstream", Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{},
+				AcceptResponse: func(h http.Header) bool { return h.Get("Id") != "other" }})
+			assertKind(t, err, ErrInDoubt)
+			assert.NoError(t, ctx.Err(), "the request ends before its deadline")
+			assert.LessOrEqual(t, <-sent, s.limit)
+			if err == nil {
+				resp.Close()
+			}
+		})
+	}
+	t.Run("a long body is no endless head", func(t *testing.T) {
+		body := strings.Repeat("x", 2*maxHeadBytes)
+		addr, _ := startUpstream(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+		c := newClient(t)
+		for range 2 {
+			_, got, err := get(context.Background(), c, addr)
+			assert.NoError(t, err)
+			assert.Equal(t, body, got)
+		}
+	})
+}
+
+// writeEndlessly writes start and then repeated in blocks until conn is closed. It gives up and closes conn once most bytes
+// have been taken. It returns the number of bytes that were taken.
+func writeEndlessly(conn net.Conn, start, repeated string, most int) int {
+	defer conn.Close()
+	taken, err := io.WriteString(conn, start)
+	block := strings.Repeat(repeated, 512/len(repeated))
+	for n := 0; err == nil && taken <= most; taken += n {
+		n, err = io.WriteString(conn, block)
+	}
+	return taken
+}
+
 func TestResponseBeforeRequestBodyIsRead(t *testing.T) {
 	addr, connections := startUpstream(t, func(_ *testing.T, conn net.Conn, reader *bufio.Reader) {
 		if _, err := http.ReadRequest(reader); err != nil {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,9 @@
 	"time"
 )
 
+// endlessBlockBytes is the size of one write of a response that never ends.
+const endlessBlockBytes = 64 << 10
+
 // ReplicaConfig configures the role, speed and capacity of a replica.
 type ReplicaConfig struct {
 	ID string
@@ -47,6 +51,10 @@
 	Unframed bool
 	// Silent neither runs nor answers the request.
 	Silent bool
+	// EndlessHead answers with a header that never ends, and EndlessEvent with a stream whose first event never ends,
+	// until the connection is closed.
+	EndlessHead  bool
+	EndlessEvent bool
 	// EndOnPart is the ID of a part of the prompt. When a decode engine begins to answer a request that has it, End is
 	// called, which ends the replica's process.
 	EndOnPart string
@@ -166,6 +174,10 @@
 	if faults.RequestLimit != "" {
 		w.Header().Set(headerRequestLimit, faults.RequestLimit)
 	}
+	if faults.EndlessHead || faults.EndlessEvent {
+		writeEndlessly(w, faults)
+		return
+	}
 	if faults.Silent {
 		<-r.Context().Done()
 		return
@@ -200,6 +212,23 @@
 	}
 }
 
+// writeEndlessly writes bytes that never form a complete response until the connection is closed.
+func writeEndlessly(w http.ResponseWriter, faults ReplicaFaults) {
+	start := "HTTP/1.1 200 OK\r\nEndless: "
+	if faults.EndlessEvent {
+		start = "HTTP/1.1 200 OK\r\n" + HeaderSignature + ": by nobody\r\nContent-Type: text/event-stream\r\n\r\nid: 1\r\ndata: "
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	block := bytes.Repeat([]byte("x"), endlessBlockBytes)
+	for _, err = io.WriteString(conn, start); err == nil; {
+		_, err = conn.Write(block)
+	}
+}
+
 // totalTokens returns the sum of the prompt and output tokens in a header of the form
 // "prompt,output". Malformed numbers count as 0.
 func totalTokens(usage string) int {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -10,15 +10,20 @@
 	"time"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout = time.Second
+	// maxHeadBytes bounds the headers of a response, including 1xx responses before it.
+	maxHeadBytes = 32 << 10
+)
 
 // New returns a transport with a dial timeout of one second that keeps up to idleConnections idle connections
-// for each host.
+// for each host. It closes the connection of an upstream that sends headers without end.
 func New(idleConnections int) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    idleConnections,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}
 }
 
