gateway: an event without end is bounded to 64 KiB, and its stream is resumed at another engine

Callers saw: when a decode engine sent bytes without end inside an event, a resumable stream was reset although a sound engine could have resumed it.

Cause: copyEvents keeps an incomplete event up to 1 MiB, and then returned an Error of the gateway, which ends the request: no resume, no failure recorded against the engine.

Ruled out: streams that are not resumable (copied, not kept; the tail that is followed keeps one event at most, now 64 KiB too).

Change: 64 KiB, which a few tokens never reach, and an ordinary read error, which takes the path of a broken stream.

Conclusion: bytes without end in a body cost a stream 64 KiB and a resume.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"mime"
 	"net/http"
@@ -9,8 +10,11 @@
 	"github.com/cassiabridge/cassiabridge/exchange"
 )
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the size of one event of a stream. Each stream in flight may keep one.
+const maxEventBytes = 64 << 10
+
+// errEventTooLong means that an upstream sent more than maxEventBytes without ending an event.
+var errEventTooLong = errors.New("an event of the stream is too long")
 
 // eventTerminators are the byte sequences that end a server-sent event: the end of the last line and an empty line. A line
 // ends with LF, CRLF or CR.
@@ -103,7 +107,7 @@
 		case err != nil:
 			return lastID, err
 		case len(pending) > maxEventBytes:
-			return lastID, &Error{Op: "read event", Kind: ErrUpstream, Err: io.ErrShortBuffer}
+			return lastID, errEventTooLong
 		}
 	}
 }
--- a/integration/site_endless_answers_test.go
+++ b/integration/site_endless_answers_test.go
@@ -49,6 +49,8 @@
 		{name: "head of a service", path: "/status/a", faulty: []string{"s-0"}, faults: standin.ReplicaFaults{EndlessHead: true}, served: true},
 		{name: "head of a prefill engine", path: "/check/a", faulty: []string{"p-0"}, faults: standin.ReplicaFaults{EndlessHead: true}, served: true},
 		{name: "head of a decode engine", path: "/check/a", faulty: []string{"d-0"}, faults: standin.ReplicaFaults{EndlessHead: true}, served: true},
+		{name: "event of a decode engine", path: "/check/a", faulty: []string{"d-0"}, faults: standin.ReplicaFaults{EndlessEvent: true}, served: true},
+		{name: "event of all decode engines", path: "/check/a", faulty: []string{"d-0", "d-1"}, faults: standin.ReplicaFaults{EndlessEvent: true}},
 		{name: "head of all decode engines", path: "/review/a", faulty: []string{"d-0", "d-1"}, faults: standin.ReplicaFaults{EndlessHead: true}},
 	}
 	for _, scenario := range scenarios {
@@ -67,7 +69,8 @@
 					r.header[standin.HeaderTokens] = "200,100"
 					a := s.send(v, r)
 					if scenario.served {
-						assert.Equal(t, http.StatusOK, a.status, a.body)
+						assert.Equal(t, http.StatusOK, a.status)
+						assert.True(t, a.complete, a.err)
 					}
 				})
 			}
