gateway: the schedule of a task that one VM runs for all becomes a type of its own

The replica list is read by the first VM by rank on behalf of all, and others take over. Declarations will need the same. fleetTask is that part of listReadSchedule; behaviour is unchanged.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -110,7 +110,7 @@
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueueCapacity),
 		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, scheduler: placement.NewScheduler(zone, limits, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), limits: limits, invalidLimits: map[string]string{},
-		pendingPlacements: map[uint64]chan placement.Decision{}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
+		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -8,13 +8,6 @@
 	// listReadInterval is the interval at which the first VM by rank reads the replica list. A replica must get no more
 	// requests 2 s after its entry says that it is leaving.
 	listReadInterval = 600 * time.Millisecond
-	// listTakeoverAfter is the age of the latest known read after which another VM takes over: the read interval, the
-	// maximum age of a beacon, and a margin.
-	listTakeoverAfter = listReadInterval + beaconInterval + 100*time.Millisecond
-	// takeoverStagger is the additional wait for each rank, so that VMs do not take over at the same time.
-	// maxTakeoverStagger limits the total.
-	takeoverStagger    = 40 * time.Millisecond
-	maxTakeoverStagger = 200 * time.Millisecond
 	// MaxListReadInterval is the maximum time between two reads by one VM, regardless of the reads of its peers.
 	MaxListReadInterval = 10 * time.Second
 	// minChangeReadInterval is the minimum time between two reads when a peer has announced a change. It grows with the
@@ -42,21 +35,20 @@
 // so one VM polls the list on behalf of all, and announces changes in its beacons. When its reads stop, others take
 // over.
 type listReadSchedule struct {
-	// readAt is when the list was last read, and requestedAt when a read was last triggered.
-	readAt      time.Time
-	requestedAt time.Time
+	fleetTask
 	// next is the position after the last record read, and changed the position after the last change seen.
 	next    listPosition
 	changed listPosition
-	// rank is the number of VMs that take precedence over this one, and peerReadAt when a peer last read the list.
-	rank       int
-	peerReadAt time.Time
 	// vmCount is the number of VMs that read the list.
 	vmCount int
 	// stale is whether a peer has seen a change that this VM has not read.
 	stale bool
 }
 
+func newListReadSchedule() listReadSchedule {
+	return listReadSchedule{fleetTask: fleetTask{interval: listReadInterval}}
+}
+
 // recordRead records a read of the list up to next. A read in a new era is a change by itself.
 func (l *listReadSchedule) recordRead(now time.Time, next listPosition) {
 	if next.era != l.next.era {
@@ -65,7 +57,7 @@
 	if next.after(l.next) {
 		l.next = next
 	}
-	l.readAt, l.stale = now, false
+	l.ranAt, l.stale = now, false
 }
 
 // recordChange records that the list has changed before position changed.
@@ -82,28 +74,14 @@
 	}
 }
 
-// recordPeerRead records that a peer read the list at the given time.
-func (l *listReadSchedule) recordPeerRead(at time.Time) { l.peerReadAt = later(l.peerReadAt, at) }
-
 // dueIn returns the time until the next read, which is due if it is 0 or less.
 func (l *listReadSchedule) dueIn(now time.Time) time.Duration {
-	last := later(l.readAt, l.requestedAt)
+	sinceOwn := now.Sub(l.lastOwn())
 	if l.stale {
 		interval := min(max(minChangeReadInterval, time.Duration(l.vmCount)*changeReadIntervalPerVM), maxChangeReadInterval)
-		return interval - now.Sub(last)
-	}
-	if l.rank == 0 {
-		return listReadInterval - now.Sub(last)
-	}
-	wait := listTakeoverAfter + min(time.Duration(l.rank)*takeoverStagger, maxTakeoverStagger)
-	return min(wait-now.Sub(later(last, l.peerReadAt)), MaxListReadInterval-now.Sub(last))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+		return interval - sinceOwn
 	}
-	return b
+	return min(l.fleetTask.dueIn(now), MaxListReadInterval-sinceOwn)
 }
 
 // WithListReader sets the function that triggers a read of the replica list. Without it the Controller triggers no
--- a/gateway/list_reads_test.go
+++ b/gateway/list_reads_test.go
@@ -47,7 +47,8 @@
 	var readers [vms]*simulatedVM
 	var beaconAt, storeDownAt [vms]time.Duration
 	for i := range readers {
-		readers[i] = &simulatedVM{listReadSchedule: listReadSchedule{vmCount: vmCount}, lastBeaconAt: map[int]time.Time{}}
+		readers[i] = &simulatedVM{listReadSchedule: newListReadSchedule(), lastBeaconAt: map[int]time.Time{}}
+		readers[i].vmCount = vmCount
 	}
 	changedAt := time.Duration(0)
 	for at := simulationStep; at < length; at += simulationStep {
@@ -72,7 +73,7 @@
 				for j, other := range readers {
 					if j != i && !f.partitioned(i, j, at) && random.Float64() > 0.05 {
 						other.lastBeaconAt[i] = now
-						other.recordPeerRead(r.readAt)
+						other.recordPeerRun(r.ranAt)
 						other.recordPeerChange(r.changed)
 					}
 				}
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -153,7 +153,7 @@
 	if len(c.replicas.doubtful) == 0 || now.Before(c.replicas.trustFrom) {
 		return
 	}
-	if c.readList != nil && c.listSchedule.readAt.Before(c.replicas.trustFrom) {
+	if c.readList != nil && c.listSchedule.ranAt.Before(c.replicas.trustFrom) {
 		c.listSchedule.stale = true
 		return
 	}
