--- a/app/store_source.go
+++ b/app/store_source.go
@@ -37,6 +37,7 @@
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas),
+			gateway.WithDeclarationsCheck(syncer.checkDeclarations),
 			gateway.WithSharedStore(syncer.refreshCopy)},
 		reload: func(*gateway.Controller) error { return nil },
 	}, closeClient
@@ -55,6 +56,8 @@
 	// declarationsRefresh and replicasRefresh trigger an immediate read of the declarations and the list of replicas.
 	declarationsRefresh chan struct{}
 	replicasRefresh     chan struct{}
+	// declarationsCheck triggers a check for newer declarations.
+	declarationsCheck chan struct{}
 	// vmsRefresh and copyRefresh trigger a read of the list of VMs and of the backup copy.
 	vmsRefresh  chan struct{}
 	copyRefresh chan struct{}
@@ -63,13 +66,16 @@
 // newStoreSyncer returns a storeSyncer that lacks its store and eras: what follows a new era is its own.
 func newStoreSyncer(cfg settings.Settings, log *zap.Logger) *storeSyncer {
 	return &storeSyncer{log: log, vm: cfg.VM, ownRecord: gateway.VMRecord{Address: cfg.Listen.Peers, AvailabilityZone: cfg.AvailabilityZone},
-		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1), vmsRefresh: make(chan struct{}, 1),
+		announceNeeded: make(chan struct{}, 1), declarationsRefresh: make(chan struct{}, 1), declarationsCheck: make(chan struct{}, 1), replicasRefresh: make(chan struct{}, 1), vmsRefresh: make(chan struct{}, 1),
 		copyRefresh: make(chan struct{}, 1)}
 }
 
 // refreshDeclarations triggers an immediate read of the declarations.
 func (s *storeSyncer) refreshDeclarations() { notify(s.declarationsRefresh) }
 
+// checkDeclarations triggers a check for newer declarations.
+func (s *storeSyncer) checkDeclarations() { notify(s.declarationsCheck) }
+
 // refreshReplicas triggers an immediate read of the list of replicas.
 func (s *storeSyncer) refreshReplicas() { notify(s.replicasRefresh) }
 
@@ -100,12 +106,34 @@
 		}
 	}, follow.WithInterval(vmsReadInterval), follow.WithWakeups(s.vmsRefresh))
 	copies := newCopies(s.store, s.eras)
-	stopBackground := runInBackground(declarations.Run, replicas.Run, vms.Run, s.announce,
+	stopBackground := runInBackground(declarations.Run, func(ctx context.Context) { s.runChecks(ctx, control, declarations) }, replicas.Run, vms.Run, s.announce,
 		func(ctx context.Context) { s.readCopies(ctx, control, copies) }, func(ctx context.Context) { control.MaintainCopy(ctx, copies) })
 	<-ctx.Done()
 	stopBackground()
 }
 
+// runChecks checks whenever declarationsCheck is signaled whether the store has newer declarations than the follower has read.
+// If so, it interrupts the follower's waiting read, whose answer may be lost.
+func (s *storeSyncer) runChecks(ctx context.Context, control *gateway.Controller, declarations *follow.Follower) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.declarationsCheck:
+		}
+		upToDate, err := declarations.UpToDate(ctx)
+		if err != nil {
+			s.log.Info("declarations-not-checked", zap.Error(err))
+			continue
+		}
+		control.RecordDeclarationsCheck()
+		if !upToDate {
+			s.log.Info("declarations-overdue")
+			s.refreshDeclarations()
+		}
+	}
+}
+
 // readCopies reads the backup copy when the process starts, and whenever copyRefresh is signaled.
 func (s *storeSyncer) readCopies(ctx context.Context, control *gateway.Controller, copies gateway.CopyStore) {
 	control.RestoreCopy(ctx, copies)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -20,6 +21,8 @@
 	// callTimeout is the timeout of a call, in addition to the time it waits for records. A slow store takes up to
 	// 0.4 s to respond.
 	callTimeout = 1500 * time.Millisecond
+	// checkTimeout is the timeout of a call that does not wait for records and that is repeated after a second.
+	checkTimeout = time.Second
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call, before a jitter of 50 %. A change must be
 	// in force within 2 s of its acknowledgment, even right after an outage.
 	minRetryDelay = 60 * time.Millisecond
@@ -29,6 +32,9 @@
 // errRestored means that a read was answered in another era than the snapshot, so that the offset named other records.
 var errRestored = errors.New("the store has come back from an older copy")
 
+// errNoSnapshot means that the topic has not been read yet.
+var errNoSnapshot = errors.New("no snapshot of the topic has been read yet")
+
 // errWokenUp is the cancellation cause of a waiting read that was interrupted by a wakeup.
 var errWokenUp = errors.New("read interrupted by a wakeup")
 
@@ -92,6 +98,14 @@
 	everRead    bool
 	lastSuccess time.Time
 	unavailable bool
+	// position is the position up to which the topic has been read, for callers of UpToDate. It is nil before the first
+	// snapshot.
+	position atomic.Pointer[position]
+}
+
+// position is an offset that holds in an era.
+type position struct {
+	offset, era uint64
 }
 
 // Option configures a Follower.
@@ -125,6 +139,28 @@
 	return f
 }
 
+// UpToDate asks the store in a call of its own whether it has records that have not been read yet. A waiting read does not
+// show them if its answer is lost. It may be called while Run runs.
+func (f *Follower) UpToDate(ctx context.Context) (bool, error) {
+	read := f.position.Load()
+	if read == nil {
+		return false, errNoSnapshot
+	}
+	callCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	found, err := f.topic.Read(callCtx, read.offset, 0)
+	switch {
+	case f.isExpired(err):
+		return false, nil
+	case err != nil:
+		return false, err
+	case f.position.Load() != read:
+		// The waiting read has been answered meanwhile.
+		return true, nil
+	}
+	return len(found.Records) == 0 && found.Era == read.era, nil
+}
+
 // Run reads the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
@@ -214,6 +250,7 @@
 		f.log.Info("store-regained", zap.String("Topic", f.topic.Name), zap.Duration("Outage", batch.Outage))
 	}
 	f.unavailable, f.lastSuccess = false, now
+	f.position.Store(&position{f.nextOffset, f.era})
 	f.apply(batch)
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -20,6 +20,7 @@
 	firstOffset uint64
 	era         uint64
 	err         error
+	// hang leaves reads that wait for records without an answer.
 	hang        bool
 	newestCalls int
 	readCalls   int
@@ -53,7 +54,7 @@
 		records := append([]Record{}, f.records[min(from, uint64(len(f.records))):]...)
 		f.mu.Unlock()
 		switch {
-		case hang:
+		case hang && wait > 0:
 			<-ctx.Done()
 			return Range{}, ctx.Err()
 		case fail != nil:
@@ -215,3 +216,55 @@
 		assert.LessOrEqual(t, topic.newestCalls+topic.readCalls, 5)
 	})
 }
+
+// TestLostAnswerHidesNewRecords guards against a waiting read whose answer is lost, which hides records for as long as it
+// waits.
+func TestLostAnswerHidesNewRecords(t *testing.T) {
+	start := func(t *testing.T) (*Follower, *fakeTopic) {
+		topic := &fakeTopic{era: 1}
+		topic.put("a", "1")
+		f, got := startFollower(t, topic, WithWait(20*time.Second))
+		eventually(t, "waiting read", func() bool { topic.mu.Lock(); defer topic.mu.Unlock(); return topic.readCalls > 0 })
+		require.Equal(t, "1", got.value("a"))
+		topic.update(func() { topic.hang = true })
+		// The read under way notices that it hangs.
+		time.Sleep(20 * time.Millisecond)
+		return f, topic
+	}
+	assertUpToDate := func(t *testing.T, f *Follower, want bool) {
+		t.Helper()
+		got, err := f.UpToDate(context.Background())
+		assert.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+	t.Run("no new records", func(t *testing.T) {
+		f, _ := start(t)
+		assertUpToDate(t, f, true)
+	})
+	t.Run("new records", func(t *testing.T) {
+		f, topic := start(t)
+		topic.put("a", "2")
+		assertUpToDate(t, f, false)
+	})
+	t.Run("another era", func(t *testing.T) {
+		f, topic := start(t)
+		topic.update(func() { topic.era = 2 })
+		assertUpToDate(t, f, false)
+	})
+	t.Run("the records to read are gone", func(t *testing.T) {
+		f, topic := start(t)
+		topic.update(func() { topic.firstOffset = 5 })
+		assertUpToDate(t, f, false)
+	})
+	t.Run("the store fails", func(t *testing.T) {
+		f, topic := start(t)
+		topic.update(func() { topic.err = errors.New("down") })
+		_, err := f.UpToDate(context.Background())
+		assert.Error(t, err)
+	})
+	t.Run("nothing has been read yet", func(t *testing.T) {
+		f, _ := startFollower(t, &fakeTopic{err: errors.New("down")})
+		_, err := f.UpToDate(context.Background())
+		assert.ErrorIs(t, err, errNoSnapshot)
+	})
+}
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -53,6 +53,7 @@
 	if b.ListAge >= 0 && !b.Leaving {
 		c.listSchedule.recordPeerRun(now.Add(-b.ListAge))
 	}
+	c.recordPeerCheck(now, b)
 	c.listSchedule.recordPeerChange(listPosition{b.ListEra, b.ListOffset})
 	c.refreshIfNewer(now, b.VM, b.Version)
 }
@@ -129,7 +130,8 @@
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: c.version(),
 		Leaving: c.leaving.Load(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
 		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
-		ListAge: c.listSchedule.age(now), ListEra: c.listSchedule.changed.era, ListOffset: c.listSchedule.changed.offset}
+		ListAge: c.listSchedule.age(now), ListEra: c.listSchedule.changed.era, ListOffset: c.listSchedule.changed.offset,
+		CheckAge: c.declarationChecks.age(now)}
 	if now.Before(c.advertiseLevelsUntil) {
 		b.BucketLevels = c.quotas.Levels(now)
 	}
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -45,6 +45,8 @@
 	sendBeacon          func(peer.Beacon, []peerAddress) error
 	refreshDeclarations func()
 	readList            func()
+	// checkDeclarations triggers a check of the store for newer declarations.
+	checkDeclarations func()
 	// readCopy triggers a read of the backup copy.
 	readCopy func()
 	// caughtUp is whether this VM may serve with its declarations.
@@ -63,6 +65,7 @@
 	// invalidLimits holds the invalid request limits that were logged, by replica ID.
 	invalidLimits     map[string]string
 	listSchedule      listReadSchedule
+	declarationChecks fleetTask
 	pendingPlacements map[uint64]chan placement.Decision
 	lastID            uint64
 	startedAt         time.Time
@@ -110,7 +113,7 @@
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueueCapacity),
 		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, scheduler: placement.NewScheduler(zone, limits, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), limits: limits, invalidLimits: map[string]string{},
-		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
+		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -137,6 +140,7 @@
 		c.expireDoubtfulReplicas(now)
 		c.updatePeersIfDue(now)
 		c.readListIfDue(now)
+		c.checkDeclarationsIfDue(now)
 		c.sendBeaconIfDue(now)
 		timer.Reset(c.nextWake(now))
 	}
@@ -144,7 +148,7 @@
 
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
-	wake := min(c.beacon.dueIn(now, len(c.peers)), c.listReadDueIn(now))
+	wake := min(c.beacon.dueIn(now, len(c.peers)), c.listReadDueIn(now), c.declarationsCheckDueIn(now))
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -140,6 +140,7 @@
 	slices.Sort(active)
 	c.limits.SetPeers(now, active)
 	c.listSchedule.rank, c.listSchedule.vmCount = rank, count+1
+	c.declarationChecks.rank = rank
 	c.scheduler.SetVMCount(count + 1)
 	c.quotas.SetPeerCounts(now, count, silent)
 	if c.vmListRead {
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -57,6 +57,9 @@
 	// ListOffset is the offset that follows the last record that changed the set of known replicas, in era ListEra of the
 	// store.
 	ListEra, ListOffset uint64
+	// CheckAge is the time since the VM last checked the store for newer declarations, at the time of sending. It is
+	// negative if the VM never has.
+	CheckAge time.Duration
 }
 
 // BeaconSocket sends and receives beacons over UDP.
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -32,6 +32,8 @@
 	ListReadMillis  int64
 	ListChanged     uint64
 	ListEra         uint64 `json:",omitempty"`
+	// CheckedMillis is nil in beacons of versions that do not check for newer declarations.
+	CheckedMillis *int64 `json:",omitempty"`
 }
 
 type limitMessage struct {
@@ -60,10 +62,11 @@
 }
 
 func newBeaconMessage(b Beacon) beaconMessage {
+	checked := b.CheckAge.Milliseconds()
 	return beaconMessage{
 		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Leaving: b.Leaving,
 		Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas,
-		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, ListEra: b.ListEra,
+		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, ListEra: b.ListEra, CheckedMillis: &checked,
 		Loads:    mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
 		Suspects: mapValues(b.Suspects, func(e quarantine.Evidence) suspectMessage { return suspectMessage(e) }),
 		Limits:   mapValues(b.ReplicaLimits, func(r quota.LimitReport) limitMessage { return limitMessage{r.Limit, r.Age.Milliseconds()} }),
@@ -71,10 +74,14 @@
 }
 
 func (m beaconMessage) beacon() Beacon {
+	checked := int64(-1)
+	if m.CheckedMillis != nil {
+		checked = *m.CheckedMillis
+	}
 	return Beacon{
 		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, Leaving: m.Leaving,
 		QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable,
-		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra,
+		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra, CheckAge: millis(checked),
 		ReplicaLoads: mapValues(m.Loads, func(load [2]int) placement.Load { return placement.Load{Requests: load[0], Tokens: load[1]} }),
 		Suspects:     mapValues(m.Suspects, func(s suspectMessage) quarantine.Evidence { return quarantine.Evidence(s) }),
 		ReplicaLimits: mapValues(m.Limits, func(l limitMessage) quota.LimitReport {
--- a/peer/beacon_test.go
+++ b/peer/beacon_test.go
@@ -24,7 +24,7 @@
 	sent := Beacon{VM: "vm-1", Incarnation: "x", Sequence: 3, Uptime: 4 * time.Second, Version: 7, Leaving: true, ReplacedReplicas: []string{"i-9"}, UnreachableReplicas: []string{"i-8"}, TrialParts: []string{"5c1e"}, ReplicaLimits: map[string]quota.LimitReport{"i-6": {Limit: 2.2, Age: 300 * time.Millisecond}},
 		Suspects:     map[string]quarantine.Evidence{"91bd": {Generation: 2, Ends: []string{"i-7"}, Moments: 1, Sound: true, Trials: 1}},
 		ReplicaLoads: map[string]placement.Load{"i-1": {Requests: 2, Tokens: 9000}}, QueuedTokens: map[string]int{"p": 5}, SpentTokens: map[string]float64{"a": 12.5}, BucketLevels: map[string]float64{"a": -3},
-		ListAge: 300 * time.Millisecond, ListOffset: 77}
+		ListAge: 300 * time.Millisecond, ListOffset: 77, CheckAge: 200 * time.Millisecond}
 	require.NoError(t, listener.Send(sent, []*net.UDPAddr{addr}))
 	select {
 	case b := <-received:
@@ -49,6 +49,13 @@
 	})
 }
 
+// TestBeaconWithoutCheckCountsAsCheck guards against a peer of an earlier version that is taken for one that checks the store.
+func TestBeaconWithoutCheckCountsAsCheck(t *testing.T) {
+	b, err := decodeBeacon([]byte(`{"jsonrpc":"2.0","method":"Beacon","params":{"VM":"v"}}`))
+	require.NoError(t, err)
+	assert.Negative(t, b.CheckAge)
+}
+
 func FuzzBeacon(f *testing.F) {
 	f.Add([]byte(`{"jsonrpc":"2.0","method":"Beacon","params":{"VM":"v","Loads":{"i":[1,2]},"Spent":{"a":1e300}}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/standin/store.go
+++ b/standin/store.go
@@ -172,7 +172,8 @@
 	return s.topic(topicName).newest[key].value
 }
 
-// SilenceTopics leaves requests for the given topics unanswered, and answers those for all others again.
+// SilenceTopics leaves requests for the given topics unanswered, also those that wait for records, and answers new ones for
+// all others again.
 func (s *Store) SilenceTopics(topicNames ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -272,6 +273,11 @@
 			s.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
+		if s.silentTopics[r.URL.Query().Get("topic")] {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		t := s.topic(r.URL.Query().Get("topic"))
 		changed := t.changed
 		if from < t.first || from > t.end() {
