--- a/exchange/client.go
+++ b/exchange/client.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,6 +55,9 @@
 	// MaxIdle is the longest time that a reused connection may have been idle. 0 means no limit besides the
 	// idle timeout of the upstream; a negative value forces a new connection.
 	MaxIdle time.Duration
+	// History holds the connections that earlier tries of the same request have used, which this one does not reuse. Nil
+	// means that there were none.
+	History *History
 	// AcceptResponse reports whether a response with this header belongs to the request. Nil accepts every response.
 	AcceptResponse func(http.Header) bool
 }
@@ -121,27 +125,35 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection to addr that can be reused, or nil if there
-// is none. It closes the connections that it finds unusable.
-func (c *Client) takeIdle(addr string, maxIdleTime time.Duration) *conn {
+// takeIdle removes and returns the most recently used idle connection to addr that can be reused and is not in history, or
+// nil if there is none. It closes the connections that it finds unusable.
+func (c *Client) takeIdle(addr string, maxIdleTime time.Duration, history *History) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	conns := c.idle[addr]
-	for len(conns) > 0 {
-		last := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		tooOld := maxIdleTime < 0 || maxIdleTime > 0 && now.Sub(last.idleSince) > maxIdleTime
-		if now.Before(last.usableUntil) && !tooOld && last.healthy() {
-			c.idle[addr] = conns
-			return last
+	for i := len(c.idle[addr]) - 1; i >= 0; i-- {
+		candidate := c.idle[addr][i]
+		if history.contains(candidate) {
+			continue
 		}
-		last.Close()
+		c.removeIdle(addr, i)
+		tooOld := maxIdleTime < 0 || maxIdleTime > 0 && now.Sub(candidate.idleSince) > maxIdleTime
+		if now.Before(candidate.usableUntil) && !tooOld && candidate.healthy() {
+			return candidate
+		}
+		candidate.Close()
 	}
-	delete(c.idle, addr)
 	return nil
 }
 
+// removeIdle removes the idle connection to addr with index i. The caller must hold c.mu.
+func (c *Client) removeIdle(addr string, i int) {
+	c.idle[addr] = slices.Delete(c.idle[addr], i, i+1)
+	if len(c.idle[addr]) == 0 {
+		delete(c.idle, addr)
+	}
+}
+
 // putIdle adds a connection to the idle connections of addr, or closes it if there are maxIdleConnsPerAddr already.
 // It closes the oldest connections that have passed usableUntil.
 func (c *Client) putIdle(addr string, used *conn) {
@@ -172,8 +184,8 @@
 }
 
 // getConn returns an idle connection to addr, or opens a new one.
-func (c *Client) getConn(ctx context.Context, addr string, maxIdleTime time.Duration) (*conn, error) {
-	if idle := c.takeIdle(addr, maxIdleTime); idle != nil {
+func (c *Client) getConn(ctx context.Context, addr string, maxIdleTime time.Duration, history *History) (*conn, error) {
+	if idle := c.takeIdle(addr, maxIdleTime, history); idle != nil {
 		return idle, nil
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, c.dialTimeout)
@@ -191,10 +203,11 @@
 // ErrUnsent or ErrInDoubt.
 func (c *Client) Do(ctx context.Context, addr string, r Request) (*Response, error) {
 	op := r.Method + " " + addr
-	connection, err := c.getConn(ctx, addr, r.MaxIdle)
+	connection, err := c.getConn(ctx, addr, r.MaxIdle, r.History)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: ErrUnsent, Err: err}
 	}
+	r.History.add(connection)
 	stop := context.AfterFunc(ctx, func() { connection.Close() })
 	req, data, err := encodeRequest(r)
 	if err != nil {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -297,6 +297,38 @@
 	return taken
 }
 
+// TestLateCopyOfARefusalAnswersTheNextTry guards against the late second copy of a response that is taken for the response to
+// the next try of the same request.
+func TestLateCopyOfARefusalAnswersTheNextTry(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nId: mine\r\nContent-Length: 0\r\n\r\n"
+	var requests atomic.Int32
+	addr, connections := startUpstream(t, func(_ *testing.T, conn net.Conn, reader *bufio.Reader) {
+		late := ""
+		for readRequest(reader) {
+			answer := "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 0\r\n\r\n"
+			if requests.Add(1) == 1 {
+				answer = refusal
+			}
+			_, _ = io.WriteString(conn, late+answer)
+			late = answer
+		}
+	})
+	c := newClient(t)
+	do := func(history *History) int {
+		resp, err := c.Do(context.Background(), addr, Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, History: history,
+			AcceptResponse: func(h http.Header) bool { return h.Get("Id") == "mine" }})
+		require.NoError(t, err)
+		defer resp.Close()
+		return resp.Status
+	}
+	var history History
+	assert.Equal(t, http.StatusServiceUnavailable, do(&history))
+	assert.Equal(t, http.StatusOK, do(&history), "the second try gets its own response")
+	assert.Equal(t, int32(2), connections.Load())
+	do(&History{})
+	assert.Equal(t, int32(2), connections.Load(), "another request reuses the connections")
+}
+
 func TestResponseBeforeRequestBodyIsRead(t *testing.T) {
 	addr, connections := startUpstream(t, func(_ *testing.T, conn net.Conn, reader *bufio.Reader) {
 		if _, err := http.ReadRequest(reader); err != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -72,6 +72,8 @@
 	state attempt.State
 	// avoid lists the IDs of upstreams that must not be tried again for this request.
 	avoid []string
+	// conns holds the connections to upstreams that tries of this request have used.
+	conns exchange.History
 	// answer is the progress of the answer that is being forwarded.
 	answer answerProgress
 	// runBroke is whether a run of the request broke off.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -150,7 +150,7 @@
 	hop.Remaining = r.deadline.Sub(s.control.now())
 	header := s.protocol.ForwardHeaders(r.http.Header)
 	s.protocol.SetHopHeaders(header, hop)
-	req := exchange.Request{Method: r.http.Method, Target: r.target, Host: r.http.Host, Header: header, Body: r.body,
+	req := exchange.Request{Method: r.http.Method, Target: r.target, Host: r.http.Host, Header: header, Body: r.body, History: &r.conns,
 		AcceptResponse: func(h http.Header) bool {
 			attemptID := s.protocol.ReadResponseInfo(http.StatusOK, h).Attempt
 			return attemptID == "" || attemptID == r.info.Attempt
