app: SIGHUP close behind a start no longer ends the process

Callers saw: a VM whose settings changed just after its start ended by itself (FAULT), and took no requests until it was started again.

Cause: without a handler SIGHUP ends a process. The handler was registered after the settings and the logger, and the Go runtime needs some 30 ms before main.

Ruled out: registering it at the start of main alone, which leaves those 30 ms.

Other commands get back what they inherited.

--- a/app/app.go
+++ b/app/app.go
@@ -43,6 +43,8 @@
 	args     string
 	examples []string
 	setup    func(flags *flag.FlagSet) func(out Output, args []string) error
+	// handlesHangup is whether the command handles SIGHUP itself.
+	handlesHangup bool
 }
 
 // Output holds the streams that a command writes to.
@@ -77,6 +79,9 @@
 }
 
 func runCommand(cmd command, out Output, args []string) int {
+	if !cmd.handlesHangup {
+		restoreHangup()
+	}
 	flags := flag.NewFlagSet(cmd.name, flag.ContinueOnError)
 	flags.SetOutput(out.Stderr)
 	run := cmd.setup(flags)
--- a/app/serve.go
+++ b/app/serve.go
@@ -36,13 +36,18 @@
 func serveCommand() command {
 	return command{
 		name: "serve", synopsis: "Run the router on this VM.", args: "[SETTINGS]",
-		examples: []string{"cassiabridge serve settings.jsonc"},
+		examples:      []string{"cassiabridge serve settings.jsonc"},
+		handlesHangup: true,
 		setup: func(*flag.FlagSet) func(Output, []string) error {
 			return func(out Output, args []string) error {
 				path, err := settingsPath(args)
 				if err != nil {
 					return err
 				}
+				// A reload that is requested from here on finds its handler, since the settings may be read before it.
+				reloadSignals := make(chan os.Signal, 1)
+				signal.Notify(reloadSignals, syscall.SIGHUP)
+				defer signal.Stop(reloadSignals)
 				cfg, err := settings.Load(path)
 				if err != nil {
 					return err
@@ -55,7 +60,7 @@
 				gatewayMetrics := metrics.NewGateway()
 				log, level, closeLog := newAsyncLogger(out.Stdout, cfg, func(lines int64) { gatewayMetrics.LogLinesDropped.Add(float64(lines)) })
 				defer closeLog()
-				return ServeGateway(ctx, cfg, log, gatewayMetrics, func() (settings.Settings, error) {
+				return ServeGateway(ctx, cfg, log, gatewayMetrics, reloadSignals, func() (settings.Settings, error) {
 					reloaded, err := settings.Load(path)
 					if err == nil {
 						setLevel(level, reloaded)
--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -7,10 +7,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -62,13 +60,9 @@
 }
 
 // ServeGateway serves routes by host and path until ctx is done, and then shuts down gracefully: requests in flight are
-// completed. It returns an *Error if they take longer than the grace period. reload is called on each SIGHUP and
+// completed. It returns an *Error if they take longer than the grace period. reload is called on each of reloadSignals and
 // returns the settings as read again.
-func ServeGateway(ctx context.Context, cfg settings.Settings, log *zap.Logger, gatewayMetrics *metrics.Gateway, reload func() (settings.Settings, error)) error {
-	// Without a handler SIGHUP ends the process, so the handler is registered before anything else is started.
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
+func ServeGateway(ctx context.Context, cfg settings.Settings, log *zap.Logger, gatewayMetrics *metrics.Gateway, reloadSignals <-chan os.Signal, reload func() (settings.Settings, error)) error {
 	if cfg.Gateway.Memory > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(cfg.Gateway.Memory) * (1 << 20)))
 	}
