gateway: a VM that stops refuses what it cannot finish, and answers what it cannot wait for

Cause: a leaving VM takes every request until its listener closes, 2.6 s after SIGTERM or half the grace, whatever it takes; at the end the process ends with its connections.

Ruled out: closing the listener at once (the load balancer needs two polls).

Change: a request whose timeout passes before the end of the stop, or whose expected time fits, is taken; another one is refused at once, truly not run, with Connection: close (writeError used to drop that header). The expected time comes from the route's last answers, or from requests in flight while there are few. 150 ms before the end, requests without the beginning of an answer end with 503 or, if they may have run, 502.

Before: TestSiteStopCutsRequestsTakenLate and TestSiteStopClosesConnectionsWithoutAnAnswer fail (requests ran and got EOF). After: both pass, and short work is not refused during the stop.

Conclusion: no request that a VM took ends without an answer, unless its answer has begun and outlasts the grace.

--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -111,7 +111,7 @@
 	if err := waitForStop(ctx, log, reloadSignals, reloadAll, failed); err != nil {
 		return err
 	}
-	return drainGateway(cfg, control, stopCallers, log)
+	return drainGateway(cfg, server, stopCallers, log)
 }
 
 // runInBackground starts each task in a goroutine. The returned function cancels their context and waits for them to
@@ -176,12 +176,13 @@
 
 // drainGateway reports to the load balancer and the peers that this VM is leaving, and waits for the requests in
 // flight.
-func drainGateway(cfg settings.Settings, control *gateway.Controller, stopCallers func(context.Context) error, log *zap.Logger) error {
+func drainGateway(cfg settings.Settings, server *gateway.Server, stopCallers func(context.Context) error, log *zap.Logger) error {
 	log.Info("draining")
 	grace := time.Duration(cfg.Gateway.Grace) * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), grace-killSafetyMargin)
+	endsAt := time.Now().Add(grace - killSafetyMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
-	control.Leave()
+	server.BeginStop(endsAt)
 	time.Sleep(min(balancerDetectionDelay, grace/2))
 	if err := stopCallers(ctx); err != nil {
 		log.Error("drain-incomplete", zap.Error(err))
--- a/gateway/error.go
+++ b/gateway/error.go
@@ -9,7 +9,7 @@
 // ErrorKind classifies an Error.
 type ErrorKind string
 
-// Kinds of Error. The kinds up to and including ErrQuarantined mean that the request has not run and never will.
+// Kinds of Error. The kinds up to and including ErrStopping mean that the request has not run and never will.
 const (
 	ErrNoDeclarations ErrorKind = "NoDeclarations" // This VM has no declarations yet.
 	ErrNoRoute        ErrorKind = "NoRoute"        // No route matches.
@@ -20,6 +20,7 @@
 	ErrNoUpstream     ErrorKind = "NoUpstream"     // No upstream can take the request.
 	ErrOverload       ErrorKind = "Overload"       // No upstream took the request in time, or too many bodies are held in memory.
 	ErrQuarantined    ErrorKind = "Quarantined"    // A part of the prompt is quarantined or on trial, since it ends the replicas that answer it.
+	ErrStopping       ErrorKind = "Stopping"       // This VM stops before it could finish the request.
 	ErrCallerGone     ErrorKind = "CallerGone"     // The caller disconnected.
 	ErrTimeout        ErrorKind = "Timeout"        // The request's deadline passed. It may have run.
 	ErrUpstream       ErrorKind = "UpstreamFailed" // The upstream failed. The request may have run.
@@ -35,6 +36,7 @@
 	ErrNoUpstream:     http.StatusServiceUnavailable,
 	ErrOverload:       http.StatusServiceUnavailable,
 	ErrQuarantined:    http.StatusServiceUnavailable,
+	ErrStopping:       http.StatusServiceUnavailable,
 	ErrCallerGone:     http.StatusBadGateway,
 	ErrTimeout:        http.StatusGatewayTimeout,
 	ErrUpstream:       http.StatusBadGateway,
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -35,8 +35,9 @@
 	}()
 	return func(ctx context.Context) error {
 		err := server.Shutdown(ctx)
-		if err != nil {
-			s.logCutRequests()
+		// Shutdown looks only every half second whether the last request has ended.
+		if err != nil && s.logCutRequests() == 0 {
+			return nil
 		}
 		return err
 	}, nil
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiabridge/cassiabridge/exchange"
@@ -18,7 +19,9 @@
 	controller *http.ResponseController
 	// started is set once the status and headers have been written.
 	started bool
-	status  int
+	// answering is started, for other goroutines.
+	answering atomic.Bool
+	status    int
 	// setResetOnClose sets whether the caller's connection ends with a reset. It may be nil.
 	setResetOnClose func(reset bool)
 	// chunks is whether the caller understands bodies in chunks.
@@ -27,6 +30,9 @@
 	framing exchange.Framing
 	// bytes counts the body bytes written so far.
 	bytes int64
+	// firstByteAt is when the first byte of the body was written, by the clock now.
+	firstByteAt time.Time
+	now         func() time.Time
 	// onFirstByte is called before the first write of the body. It may be nil.
 	onFirstByte func()
 	// onWrite is called after each write of the body. It may be nil.
@@ -60,6 +66,7 @@
 		header.Set("Transfer-Encoding", "identity")
 	}
 	w.started, w.status = true, status
+	w.answering.Store(true)
 	w.protectEnd(true)
 	w.WriteHeader(status)
 }
@@ -89,8 +96,8 @@
 // writeAndFlush writes a part of the body and flushes it, so that streams are not delayed by buffering. If that fails it
 // returns an Error of kind ErrCallerGone.
 func (w *responseWriter) writeAndFlush(p []byte) error {
-	if w.bytes == 0 && w.onFirstByte != nil {
-		w.onFirstByte()
+	if w.bytes == 0 {
+		w.noteFirstByte()
 	}
 	n, err := w.Write(p)
 	w.bytes += int64(n)
@@ -106,6 +113,16 @@
 	return nil
 }
 
+// noteFirstByte records that the body begins.
+func (w *responseWriter) noteFirstByte() {
+	if w.now != nil {
+		w.firstByteAt = w.now()
+	}
+	if w.onFirstByte != nil {
+		w.onFirstByte()
+	}
+}
+
 // copyBody streams the body of a response to the caller. If writing fails it returns an Error of kind ErrCallerGone;
 // read errors are returned as they are.
 func (w *responseWriter) copyBody(resp *exchange.Response) error {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -43,6 +43,8 @@
 	random    func() float64
 	bodies    bodyMemory
 	inFlight  inFlight
+	workTimes workTimes
+	stopping  stopping
 	// endChecks joins simultaneous checks of the same replica.
 	endChecks singleflight.Group
 }
@@ -74,6 +76,8 @@
 	avoid []string
 	// conns holds the connections to upstreams that tries of this request have used.
 	conns exchange.History
+	// cancel ends the request with a cause.
+	cancel context.CancelCauseFunc
 	// answer is the progress of the answer that is being forwarded.
 	answer answerProgress
 	// runBroke is whether a run of the request broke off.
@@ -93,7 +97,10 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, httpRequest *http.Request) {
 	r := &request{http: httpRequest, arrivedAt: s.control.now(), info: s.protocol.ReadRequestInfo(httpRequest.Header), target: requestTarget(httpRequest)}
-	r.w = &responseWriter{ResponseWriter: w, controller: http.NewResponseController(w), chunks: httpRequest.ProtoAtLeast(1, 1)}
+	ctx, cancel := context.WithCancelCause(httpRequest.Context())
+	defer cancel(nil)
+	r.cancel = cancel
+	r.w = &responseWriter{ResponseWriter: w, now: s.control.now, controller: http.NewResponseController(w), chunks: httpRequest.ProtoAtLeast(1, 1)}
 	if conn := callerConnOf(httpRequest); conn != nil {
 		r.w.setResetOnClose = func(reset bool) { s.setResetOnClose(r, conn, reset) }
 	}
@@ -101,7 +108,7 @@
 	if s.control.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	reqErr := s.serve(r)
+	reqErr := s.serve(ctx, r)
 	s.recordOutcome(r, reqErr)
 	if reqErr == nil {
 		r.w.finish()
@@ -111,7 +118,7 @@
 		// Abort the connection so that the truncated response does not look complete.
 		panic(http.ErrAbortHandler)
 	}
-	writeError(w, reqErr)
+	writeError(w, reqErr, s.control.Leaving())
 }
 
 // setResetOnClose sets whether the connection of a request ends with a reset.
@@ -131,7 +138,7 @@
 
 // serve checks, reads, admits and forwards a request. Tokens charged to the account's quota are refunded if the
 // request did not run.
-func (s *Server) serve(r *request) *Error {
+func (s *Server) serve(ctx context.Context, r *request) *Error {
 	r.table = s.control.Table()
 	if r.table == nil || !s.control.caughtUp.Load() {
 		return errorf("route", ErrNoDeclarations, "this VM has no current declarations yet").withRetryAfter(noDeclarationsRetryAfter)
@@ -139,6 +146,9 @@
 	if reqErr := s.resolve(r); reqErr != nil {
 		return reqErr
 	}
+	if reqErr := s.checkStopping(r); reqErr != nil {
+		return reqErr
+	}
 	length := r.http.ContentLength
 	if !s.bodies.reserve(length) {
 		return errorf("read body", ErrOverload, "too many long bodies are under way").withRetryAfter(noUpstreamRetryAfter)
@@ -147,7 +157,7 @@
 	if reqErr := r.readBody(); reqErr != nil {
 		return reqErr
 	}
-	ctx, cancel := context.WithDeadline(r.http.Context(), r.deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	r.w.setWriteDeadline(r.deadline.Add(writeGrace))
 	cost := 0.0
@@ -269,6 +279,7 @@
 	}
 	fields = append(fields, zap.Duration("Took", took))
 	if reqErr == nil {
+		s.recordWorkTime(r, took)
 		fields = append(fields, zap.Int("Status", r.w.status), zap.Int64("Bytes", r.w.bytes))
 	} else {
 		outcome = string(reqErr.Kind)
@@ -280,10 +291,14 @@
 	s.log.Info("request-ended", fields...)
 }
 
-// writeError sends an error response for a request without a relayed response.
-func writeError(w http.ResponseWriter, reqErr *Error) {
+// writeError sends an error response for a request without a relayed response. closeConn asks the caller to close its
+// connection.
+func writeError(w http.ResponseWriter, reqErr *Error, closeConn bool) {
 	h := w.Header()
 	clear(h)
+	if closeConn {
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if reqErr.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(reqErr.RetryAfter.Seconds(), 'f', 2, 64))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -104,12 +104,23 @@
 	if r.http.Context().Err() != nil {
 		return &Error{Op: "forward", Kind: ErrCallerGone, Err: context.Cause(ctx)}
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return r.stoppingError()
+	}
 	if r.state.NotRun() {
 		return &Error{Op: "forward", Kind: ErrOverload, Err: errors.New("no upstream took the request in its time")}
 	}
 	return &Error{Op: "forward", Kind: ErrTimeout, Err: context.Cause(ctx)}
 }
 
+// stoppingError returns the error for a request that outlasts the stop of this VM.
+func (r *request) stoppingError() *Error {
+	if r.state.NotRun() {
+		return (&Error{Op: "forward", Kind: ErrStopping, Err: errStopping}).withRetryAfter(stoppingRetryAfter)
+	}
+	return &Error{Op: "forward", Kind: ErrUpstream, Err: errStopping}
+}
+
 // exchange sends the request to one upstream and classifies the outcome. It updates the state of the request, and
 // reports failures and refusals to the controller.
 func (s *Server) exchange(ctx context.Context, r *request, to placement.Replica, hop Hop) exchangeResult {
