gateway: requests whose time ran out count as work times; the test of late requests plays what it says

The trace showed a gap in the product too: such a request tells that the work takes at least that long, and was not counted.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -279,13 +279,13 @@
 	}
 	fields = append(fields, zap.Duration("Took", took))
 	if reqErr == nil {
-		s.recordWorkTime(r, took)
 		fields = append(fields, zap.Int("Status", r.w.status), zap.Int64("Bytes", r.w.bytes))
 	} else {
 		outcome = string(reqErr.Kind)
 		fields = append(fields, zap.Int("Status", reqErr.status()), zap.String("Kind", outcome), zap.Duration("RetryAfter", reqErr.RetryAfter),
 			zap.Bool("Cut", r.w.started), zap.Error(reqErr))
 	}
+	s.recordWorkTime(r, reqErr, took)
 	s.metrics.Requests.WithLabelValues(route, outcome).Inc()
 	s.metrics.Duration.WithLabelValues(route).Observe(took.Seconds())
 	s.log.Info("request-ended", fields...)
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -80,13 +80,16 @@
 	return r.expectedOutput()
 }
 
-// recordWorkTime records how long a request took that has its whole answer.
-func (s *Server) recordWorkTime(r *request, took time.Duration) {
-	if r.w.status != http.StatusOK {
+// recordWorkTime records how long a request took that has its whole answer, or whose time ran out while an upstream was at
+// work on it.
+func (s *Server) recordWorkTime(r *request, reqErr *Error, took time.Duration) {
+	answered := reqErr == nil && r.w.status == http.StatusOK
+	timedOut := reqErr != nil && reqErr.Kind == ErrTimeout && !r.w.started
+	if !answered && !timedOut {
 		return
 	}
 	untilFirst := took
-	if !r.w.firstByteAt.IsZero() {
+	if answered && !r.w.firstByteAt.IsZero() {
 		untilFirst = r.w.firstByteAt.Sub(r.arrivedAt)
 	}
 	s.workTimes.record(r.route.Name, untilFirst, took, r.outputTokens())
--- a/integration/site_stop_test.go
+++ b/integration/site_stop_test.go
@@ -33,6 +33,7 @@
 		{standin.ReplicaConfig{ID: "s-0", WorkDuration: work}, deskService}, {standin.ReplicaConfig{ID: "s-1", WorkDuration: work}, deskService},
 	})
 	s.graceMillis = stopGraceMillis
+	s.configure(func(c *standin.Configuration) { c.Routes[2]["timeoutMs"] = 14_000 })
 	v := s.newVM("vm-0")
 	s.start(v)
 	s.eventually(10*time.Second, "the VM is ready", func() bool { return s.isReady(v) })
