app: the end of the log's reader no longer ends the process

Callers saw: when the log collector of a VM restarted, the VM ended by SIGPIPE at its next log line, and all requests that it held were lost (FAULT, LOST).

Cause: the Go runtime ends a program whose write to descriptor 1 or 2 finds no reader, unless SIGPIPE is handled or ignored.

Change: serve ignores SIGPIPE, and counts lines that cannot be written as dropped.

--- a/app/logger.go
+++ b/app/logger.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"bytes"
 	"io"
 	"strconv"
 	"sync"
@@ -118,8 +119,10 @@
 			w.onDropped(n)
 			batch = append(batch, "Event=log-lines-dropped Count="+strconv.FormatInt(n, 10)+"\n"...)
 		}
-		// A failure to write the log cannot be reported anywhere.
-		_, _ = w.out.Write(batch)
+		if _, err := w.out.Write(batch); err != nil {
+			// The reader of the log has gone, so the failure can only be counted.
+			w.dropped.Add(int64(bytes.Count(batch, []byte("\n"))))
+		}
 	}
 }
 
--- a/app/serve.go
+++ b/app/serve.go
@@ -44,6 +44,8 @@
 				if err != nil {
 					return err
 				}
+				// Otherwise a log line ends the process when the reader of its output has gone.
+				signal.Ignore(syscall.SIGPIPE)
 				// A reload that is requested from here on finds its handler, since the settings may be read before it.
 				reloadSignals := make(chan os.Signal, 1)
 				signal.Notify(reloadSignals, syscall.SIGHUP)
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -22,6 +22,8 @@
 	settingsPath string
 	cmd          *exec.Cmd
 	output       *os.File
+	// stdout replaces output if it is not nil.
+	stdout *os.File
 }
 
 // newProcess writes the settings file of a process without starting it.
@@ -47,6 +49,9 @@
 	p.output = output
 	p.cmd = exec.Command(binary, "serve", p.settingsPath)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
+	if p.stdout != nil {
+		p.cmd.Stdout, p.cmd.Stderr = p.stdout, p.stdout
+	}
 	require.NoError(t, p.cmd.Start())
 	cmd := p.cmd
 	t.Cleanup(func() {
