app: a log that nobody reads no longer keeps a process from stopping

Callers saw: a VM whose standard output was full and not read did not end after SIGTERM; the platform killed it, with what it still held (LOST).

Cause: the logger's close waited for the write under way, which never returns. On the way two more synchronous writers were found: the errors of net/http, and the whole log of the native interface, which would have blocked its requests.

Change: close waits 100 ms at most; net/http logs through our logger; the native interface uses the asynchronous logger too (newLogger is gone).

After: it passes, and the VM serves while nobody reads its log. The native interface's part has no test of its own.

--- a/app/logger.go
+++ b/app/logger.go
@@ -22,6 +22,8 @@
 	logFlushInterval = 50 * time.Millisecond
 	// maxLogBatchBytes is the size at which a batch is written without waiting for further lines.
 	maxLogBatchBytes = 32 << 10
+	// logCloseTimeout bounds how long the end of a process waits until its last lines are written.
+	logCloseTimeout = 100 * time.Millisecond
 	// maxLinesPerSecond limits the volume of the log. Further lines are dropped and counted.
 	maxLinesPerSecond = 1000
 )
@@ -41,13 +43,6 @@
 	level.SetLevel(parsed)
 }
 
-// newLogger returns a logger that writes each event synchronously as a line of key=value pairs.
-func newLogger(w io.Writer, cfg settings.Settings) *zap.Logger {
-	level := zap.NewAtomicLevel()
-	setLevel(level, cfg)
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(encoderConfig()), zapcore.Lock(zapcore.AddSync(w)), level))
-}
-
 // newAsyncLogger returns a logger that never blocks, its adjustable level, and a function that flushes and closes it.
 // dropped is called with the number of lines dropped since its last call.
 func newAsyncLogger(w io.Writer, cfg settings.Settings, dropped func(lines int64)) (*zap.Logger, zap.AtomicLevel, func()) {
@@ -63,7 +58,8 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	wg      sync.WaitGroup
+	// done is closed once all lines are written.
+	done chan struct{}
 	// onDropped is called with the number of lines dropped since its last call.
 	onDropped func(lines int64)
 
@@ -74,8 +70,8 @@
 }
 
 func newLineWriter(out io.Writer, onDropped func(lines int64)) *lineWriter {
-	w := &lineWriter{out: out, onDropped: onDropped, lines: make(chan []byte, logQueueSize)}
-	w.wg.Go(w.run)
+	w := &lineWriter{out: out, onDropped: onDropped, lines: make(chan []byte, logQueueSize), done: make(chan struct{})}
+	go w.run()
 	return w
 }
 
@@ -103,16 +99,21 @@
 // Sync implements zapcore.WriteSyncer. It does nothing; close flushes the queue.
 func (w *lineWriter) Sync() error { return nil }
 
-// close writes the queued lines and stops the background goroutine. Later lines are dropped.
+// close writes the queued lines and stops the background goroutine. Later lines are dropped. It gives up after
+// logCloseTimeout, if nobody reads what is written.
 func (w *lineWriter) close() {
 	w.mu.Lock()
 	w.closed = true
 	close(w.lines)
 	w.mu.Unlock()
-	w.wg.Wait()
+	select {
+	case <-w.done:
+	case <-time.After(logCloseTimeout):
+	}
 }
 
 func (w *lineWriter) run() {
+	defer close(w.done)
 	for line := range w.lines {
 		batch := w.collect(line)
 		if n := w.dropped.Swap(0); n > 0 {
--- a/app/serve.go
+++ b/app/serve.go
@@ -57,7 +57,9 @@
 				ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 				defer stop()
 				if !cfg.Gateway.Enabled() {
-					return Serve(ctx, cfg, newLogger(out.Stderr, cfg))
+					log, _, closeLog := newAsyncLogger(out.Stderr, cfg, func(int64) {})
+					defer closeLog()
+					return Serve(ctx, cfg, log)
 				}
 				gatewayMetrics := metrics.NewGateway()
 				log, level, closeLog := newAsyncLogger(out.Stdout, cfg, func(lines int64) { gatewayMetrics.LogLinesDropped.Add(float64(lines)) })
@@ -90,7 +92,6 @@
 // *Error if they take longer than cfg.Timing.Drain.
 func Serve(ctx context.Context, cfg settings.Settings, log *zap.Logger) error {
 	self := peer.Identity{VM: cfg.VM, Incarnation: uuid.NewString()[:8]}
-	log = log.With(zap.String("VM", self.VM))
 	routerMetrics := metrics.New()
 	engines, closeEngines := engine.NewClient()
 	defer closeEngines()
@@ -109,11 +110,11 @@
 	if err != nil {
 		return err
 	}
-	callerServer, callerFailed, err := listen(cfg.Listen.Callers, callers.Handler(), cfg.Limits.HeaderBytes)
+	callerServer, callerFailed, err := listen(cfg.Listen.Callers, callers.Handler(), cfg.Limits.HeaderBytes, log)
 	if err != nil {
 		return err
 	}
-	operatorServer, operatorFailed, err := listen(cfg.Listen.Operators, operators, cfg.Limits.HeaderBytes)
+	operatorServer, operatorFailed, err := listen(cfg.Listen.Operators, operators, cfg.Limits.HeaderBytes, log)
 	if err != nil {
 		return err
 	}
@@ -132,12 +133,12 @@
 
 // listen starts serving handler at addr. The returned channel receives an error if the server stops before it is shut
 // down.
-func listen(addr string, handler http.Handler, headerBytes int) (*http.Server, <-chan error, error) {
+func listen(addr string, handler http.Handler, headerBytes int, log *zap.Logger) (*http.Server, <-chan error, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, nil, &Error{Op: "listen", Kind: "Failed", Err: err}
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(log)}
 	failed := make(chan error, 1)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -130,11 +130,11 @@
 
 // serveAuxiliary serves the readiness check and the metrics until the returned function is called.
 func serveAuxiliary(cfg settings.Settings, control *gateway.Controller, readinessPath string, gatewayMetrics *metrics.Gateway, log *zap.Logger, failed chan<- error) (func(), error) {
-	closeReadiness, err := serveHTTP(cfg.Listen.Readiness, readinessPath, control.ReadinessHandler(), failed)
+	closeReadiness, err := serveHTTP(cfg.Listen.Readiness, readinessPath, control.ReadinessHandler(), log, failed)
 	if err != nil {
 		return nil, err
 	}
-	closeMetrics, err := serveHTTP(cfg.Listen.Metrics, "/metrics", promhttp.HandlerFor(gatewayMetrics.Registry, promhttp.HandlerOpts{}), failed)
+	closeMetrics, err := serveHTTP(cfg.Listen.Metrics, "/metrics", promhttp.HandlerFor(gatewayMetrics.Registry, promhttp.HandlerOpts{}), log, failed)
 	if err != nil {
 		// The metrics port is the same on all installations and may be in use. Callers can be served without metrics.
 		log.Error("metrics-not-served", zap.String("Address", cfg.Listen.Metrics), zap.Error(err))
@@ -193,14 +193,14 @@
 }
 
 // serveHTTP serves handler for path at addr until the returned function is called. A later failure is sent to failed.
-func serveHTTP(addr, path string, handler http.Handler, failed chan<- error) (func(), error) {
+func serveHTTP(addr, path string, handler http.Handler, log *zap.Logger, failed chan<- error) (func(), error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: "Failed", Err: err}
 	}
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(log)}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- &Error{Op: "serve " + addr, Kind: "Failed", Err: err}
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -23,7 +25,7 @@
 func (s *Server) ListenCallers(addr string, failed chan<- error) (stop func(context.Context) error, err error) {
 	conns := newCallerConns(s.connLimits)
 	s.control.onDeclarations(conns.applyIdleLimit)
-	server := &http.Server{Handler: s, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState, ConnContext: withCallerConn}
+	server := &http.Server{Handler: s, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState, ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(s.log)}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrUnreadable, Err: err}
--- a/integration/site_log_reader_test.go
+++ b/integration/site_log_reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,3 +37,39 @@
 	}
 	s.eventually(2*time.Second, "the lost lines are counted", func() bool { return s.metric(v, "cassiabridge_log_lines_dropped_total") > 0 })
 }
+
+// TestSiteFullLogKeepsTheVMFromStopping guards against a stop that waits for ever for the reader of the log.
+func TestSiteFullLogKeepsTheVMFromStopping(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	s.graceMillis = stopGraceMillis
+	v, _, write := newPipedVM(t, s)
+	s.awaitServing(v)
+	fillPipe(t, write)
+	for range 5 {
+		assert.Equal(t, http.StatusOK, s.send(v, siteRequest{path: "/status/a"}).status, "the VM serves though nobody reads its log")
+	}
+	v.signal(t, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- v.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		assert.NoError(t, err)
+	case <-time.After(stopGraceMillis * time.Millisecond):
+		assert.Fail(t, "the VM is still there at the end of its grace")
+	}
+}
+
+// fillPipe writes to a pipe until it takes nothing more.
+func fillPipe(t *testing.T, write *os.File) {
+	t.Helper()
+	// The process shares the mode of the pipe, so it is set back.
+	fd := int(write.Fd())
+	require.NoError(t, syscall.SetNonblock(fd, true))
+	defer func() { require.NoError(t, syscall.SetNonblock(fd, false)) }()
+	var err error
+	for err == nil {
+		_, err = syscall.Write(fd, []byte("x\n"))
+	}
+	require.ErrorIs(t, err, syscall.EAGAIN)
+}
