app: a start waits for a port that is in use

Callers saw: a VM that was started while its predecessor still drained, or while another program's connection used one of its ports, ended at once (FAULT).

Cause: each port was tried once, and the process exited with 1.

Change: EADDRINUSE is tried again every 50 ms until the port is free or the process is told to stop, and logged once. Other errors end the start as before. Callers can connect before the VM reports that it is ready.

The metrics port is not waited for, as before.

--- a/app/serve.go
+++ b/app/serve.go
@@ -98,23 +98,30 @@
 	canceller, closeCancels := engine.NewCanceller(engines, cancelGrace)
 	services, closeServices := service.NewClient(cfg.Limits.ServiceBytes)
 	defer closeServices()
-	ctl, closeControl, err := control.New(cfg, self, engines, canceller, control.WithLogger(log), control.WithMetrics(routerMetrics))
+	ctl, err := whenPortFree(ctx, log, cfg.Listen.Peers, func() (runningControl, error) {
+		ctl, closeControl, err := control.New(cfg, self, engines, canceller, control.WithLogger(log), control.WithMetrics(routerMetrics))
+		return runningControl{ctl, closeControl}, err
+	})
 	if err != nil {
 		closeCancels()
 		return err
 	}
-	defer closeControl()
+	defer ctl.close()
 	defer closeCancels()
-	callers := caller.New(cfg, ctl, engines, canceller, services, caller.WithLogger(log), caller.WithMetrics(routerMetrics))
-	operators, err := operator.New(cfg, ctl, routerMetrics, operator.WithLogger(log))
+	callers := caller.New(cfg, ctl.Controller, engines, canceller, services, caller.WithLogger(log), caller.WithMetrics(routerMetrics))
+	operators, err := operator.New(cfg, ctl.Controller, routerMetrics, operator.WithLogger(log))
 	if err != nil {
 		return err
 	}
-	callerServer, callerFailed, err := listen(cfg.Listen.Callers, callers.Handler(), cfg.Limits.HeaderBytes, log)
+	callerServer, err := whenPortFree(ctx, log, cfg.Listen.Callers, func() (runningServer, error) {
+		return listen(cfg.Listen.Callers, callers.Handler(), cfg.Limits.HeaderBytes, log)
+	})
 	if err != nil {
 		return err
 	}
-	operatorServer, operatorFailed, err := listen(cfg.Listen.Operators, operators, cfg.Limits.HeaderBytes, log)
+	operatorServer, err := whenPortFree(ctx, log, cfg.Listen.Operators, func() (runningServer, error) {
+		return listen(cfg.Listen.Operators, operators, cfg.Limits.HeaderBytes, log)
+	})
 	if err != nil {
 		return err
 	}
@@ -123,20 +130,31 @@
 		zap.String("Callers", cfg.Listen.Callers), zap.String("Operators", cfg.Listen.Operators), zap.String("Peers", cfg.Listen.Peers))
 	select {
 	case <-ctx.Done():
-	case err := <-callerFailed:
+	case err := <-callerServer.failed:
 		return err
-	case err := <-operatorFailed:
+	case err := <-operatorServer.failed:
 		return err
 	}
-	return drain(cfg, ctl, callerServer, log)
+	return drain(cfg, ctl.Controller, callerServer.Server, log)
 }
 
-// listen starts serving handler at addr. The returned channel receives an error if the server stops before it is shut
-// down.
-func listen(addr string, handler http.Handler, headerBytes int, log *zap.Logger) (*http.Server, <-chan error, error) {
+// runningControl is a controller that runs, and the function that stops it.
+type runningControl struct {
+	*control.Controller
+	close func()
+}
+
+// runningServer is an HTTP server that serves. failed receives an error if it stops before it is shut down.
+type runningServer struct {
+	*http.Server
+	failed <-chan error
+}
+
+// listen starts serving handler at addr.
+func listen(addr string, handler http.Handler, headerBytes int, log *zap.Logger) (runningServer, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, nil, &Error{Op: "listen", Kind: "Failed", Err: err}
+		return runningServer{}, &Error{Op: "listen", Kind: "Failed", Err: err}
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(log)}
 	failed := make(chan error, 1)
@@ -145,7 +163,7 @@
 			failed <- &Error{Op: "serve " + addr, Kind: "Failed", Err: err}
 		}
 	}()
-	return server, failed, nil
+	return runningServer{server, failed}, nil
 }
 
 // drain reports to the peers and the load balancer that this VM is draining, and waits for the requests in flight.
--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -73,32 +73,38 @@
 	}
 	defer closeSource()
 
-	var beacons *peer.BeaconSocket
+	var beacons beaconListener
 	options := append(src.options, gateway.WithLogger(log), gateway.WithMetrics(gatewayMetrics),
 		gateway.WithRetryBudget(cfg.Gateway.RetryRatio, cfg.Gateway.RetrySlack, time.Duration(cfg.Gateway.RetryWindow)*time.Millisecond),
-		gateway.WithBeaconSender(func(b peer.Beacon, to []*net.UDPAddr) error { return beacons.Send(b, to) }))
+		gateway.WithBeaconSender(func(b peer.Beacon, to []*net.UDPAddr) error { return beacons.socket.Send(b, to) }))
 	control := gateway.NewController(self, cfg.AvailabilityZone, options...)
-	beacons, closeBeacons, err := peer.ListenBeacons(cfg.Listen.Peers, control.HandleBeacon, func(err error) { log.Warn("beacon-rejected", zap.Error(err)) })
+	beacons, err = whenPortFree(ctx, log, cfg.Listen.Peers, func() (beaconListener, error) {
+		socket, closeSocket, err := peer.ListenBeacons(cfg.Listen.Peers, control.HandleBeacon, func(err error) { log.Warn("beacon-rejected", zap.Error(err)) })
+		return beaconListener{socket, closeSocket}, err
+	})
 	if err != nil {
 		return err
 	}
-	defer closeBeacons()
+	defer beacons.close()
 	stopBackground := runInBackground(control.Run, func(ctx context.Context) { src.run(ctx, control) })
 	defer stopBackground()
 
 	failed := make(chan error, 3)
-	closeAuxiliary, err := serveAuxiliary(cfg, control, src.readinessPath, gatewayMetrics, log, failed)
-	if err != nil {
-		return err
-	}
-	defer closeAuxiliary()
 	upstreams, closeUpstreams := exchange.NewClient(exchange.WithDialObserver(func(string) { gatewayMetrics.Connections.Inc() }))
 	defer closeUpstreams()
 	server := gateway.NewServer(control, src.protocol, upstreams, rand.Float64, maxBodyMemory(cfg))
-	stopCallers, err := server.ListenCallers(cfg.Listen.Callers, failed)
+	stopCallers, err := whenPortFree(ctx, log, cfg.Listen.Callers, func() (func(context.Context) error, error) {
+		return server.ListenCallers(cfg.Listen.Callers, failed)
+	})
+	if err != nil {
+		return err
+	}
+	// The VM reports that it is ready only once callers can connect.
+	closeAuxiliary, err := serveAuxiliary(ctx, cfg, control, src.readinessPath, gatewayMetrics, log, failed)
 	if err != nil {
 		return err
 	}
+	defer closeAuxiliary()
 	log.Info("started", zap.String("Incarnation", self.Incarnation), zap.String("Version", Version), zap.String("Callers", cfg.Listen.Callers),
 		zap.String("Store", cfg.Gateway.Store), zap.String("File", cfg.Gateway.File), zap.String("Zone", cfg.AvailabilityZone))
 	reloadAll := func() (settings.Settings, error) {
@@ -114,6 +120,12 @@
 	return drainGateway(cfg, server, stopCallers, log)
 }
 
+// beaconListener is an open socket for beacons and the function that closes it.
+type beaconListener struct {
+	socket *peer.BeaconSocket
+	close  func()
+}
+
 // runInBackground starts each task in a goroutine. The returned function cancels their context and waits for them to
 // return.
 func runInBackground(tasks ...func(context.Context)) func() {
@@ -129,8 +141,10 @@
 }
 
 // serveAuxiliary serves the readiness check and the metrics until the returned function is called.
-func serveAuxiliary(cfg settings.Settings, control *gateway.Controller, readinessPath string, gatewayMetrics *metrics.Gateway, log *zap.Logger, failed chan<- error) (func(), error) {
-	closeReadiness, err := serveHTTP(cfg.Listen.Readiness, readinessPath, control.ReadinessHandler(), log, failed)
+func serveAuxiliary(ctx context.Context, cfg settings.Settings, control *gateway.Controller, readinessPath string, gatewayMetrics *metrics.Gateway, log *zap.Logger, failed chan<- error) (func(), error) {
+	closeReadiness, err := whenPortFree(ctx, log, cfg.Listen.Readiness, func() (func(), error) {
+		return serveHTTP(cfg.Listen.Readiness, readinessPath, control.ReadinessHandler(), log, failed)
+	})
 	if err != nil {
 		return nil, err
 	}
