--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -72,12 +73,13 @@
 	if name == c.self.VM {
 		return
 	}
-	addr, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil || addr.IP == nil {
+	// Names are not looked up: that could block the control goroutine.
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil || addr.Port() == 0 || !addr.Addr().Unmap().Is4() {
 		c.log.Warn("vm-record-ignored", zap.String("Peer", name), zap.String("Address", address), zap.Error(err))
 		return
 	}
-	c.registerPeer(name, addr)
+	c.registerPeer(name, net.UDPAddrFromAddrPort(addr))
 }
 
 func (c *Controller) registerPeer(name string, addr peerAddress) *peerState {
