--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -58,6 +58,9 @@
 
 // Protocol translates between HTTP messages and the gateway's types. Each platform's adapter provides one.
 type Protocol struct {
+	// NamesAttempts is whether upstreams name the attempt in every response to a request that has one. A response without
+	// it then belongs to no request.
+	NamesAttempts bool
 	// ReadRequestInfo parses the headers of a caller's request.
 	ReadRequestInfo func(http.Header) RequestInfo
 	// ForwardHeaders returns a copy of the caller's headers to send to an upstream.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -164,7 +164,7 @@
 	req := exchange.Request{Method: r.http.Method, Target: r.target, Host: r.http.Host, Header: header, Body: r.body, History: &r.conns,
 		AcceptResponse: func(h http.Header) bool {
 			attemptID := s.protocol.ReadResponseInfo(http.StatusOK, h).Attempt
-			return attemptID == "" || attemptID == r.info.Attempt
+			return attemptID == r.info.Attempt || attemptID == "" && !s.protocol.NamesAttempts
 		}}
 	if r.route.Repeat == routing.AtMostOnce {
 		req.MaxIdle = atMostOnceMaxIdle
--- a/integration/site_late_copy_test.go
+++ b/integration/site_late_copy_test.go
@@ -1,17 +1,13 @@
 package integration
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"github.com/cassiabridge/cassiabridge/standin"
 )
@@ -40,50 +36,25 @@
 }
 
 func (e *copyingEngines) start(id string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(e.site.t, err)
-	e.site.t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
+	e.site.startRawReplica(id, engineService, "decode", func() func(*http.Request) string {
+		late := ""
+		return func(r *http.Request) string {
+			before := late
+			attempt := r.Header.Get(standin.HeaderAttempt)
+			if e.refuses(id, attempt) {
+				late = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", standin.HeaderAttempt, attempt)
+				return before + late
 			}
-			go e.serve(id, conn)
+			late = ""
+			return before + rawAnswer(attempt, id, streamBody(attempt, 3))
 		}
-	}()
-	e.site.store.PutReplica(id, map[string]any{"service": engineService, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "stage": "decode",
-		"coldRemainingMs": 0, "sequence": 1, "address": listener.Addr().String()})
+	})
 }
 
-// serve serves the requests on one connection, one after the other.
-func (e *copyingEngines) serve(id string, conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	late := ""
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		attempt := r.Header.Get(standin.HeaderAttempt)
-		if e.refuses(id, attempt) {
-			refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", standin.HeaderAttempt, attempt)
-			_, err = io.WriteString(conn, late+refusal)
-			late = refusal
-		} else {
-			body := streamBody(attempt, 3)
-			_, err = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\n%s: by %s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s",
-				late, standin.HeaderAttempt, attempt, standin.HeaderSignature, id, len(body), body)
-			late = ""
-		}
-		if err != nil {
-			return
-		}
-	}
+// rawAnswer returns the bytes of a whole answer.
+func rawAnswer(attempt, replica, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: by %s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s",
+		standin.HeaderAttempt, attempt, standin.HeaderSignature, replica, len(body), body)
 }
 
 // refuses reports whether an engine refuses an attempt, which it does once. Otherwise the attempt runs.
