gateway: a start that waits for the callers' port registers its observer once

Change: the port is opened first. The tests of the start pass as before.

Ruled out: the other listeners, which register nothing before they listen.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -23,13 +23,13 @@
 // the error is sent to failed. The returned function stops listening and waits until the requests in flight have ended
 // or its context is done.
 func (s *Server) ListenCallers(addr string, failed chan<- error) (stop func(context.Context) error, err error) {
-	conns := newCallerConns(s.connLimits)
-	s.control.onDeclarations(conns.applyIdleLimit)
-	server := &http.Server{Handler: s, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState, ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(s.log)}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: ErrUnreadable, Err: err}
 	}
+	conns := newCallerConns(s.connLimits)
+	s.control.onDeclarations(conns.applyIdleLimit)
+	server := &http.Server{Handler: s, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState, ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(s.log)}
 	go func() {
 		if err := server.Serve(callerListener{listener, conns}); !errors.Is(err, http.ErrServerClosed) {
 			failed <- &Error{Op: "serve " + addr, Kind: ErrUnreadable, Err: err}
