app: builds without cgo too

hangup.c stopped CGO_ENABLED=0 builds and so the check of the amd64 build on an arm64 machine. Without cgo SIGHUP is not ignored before the handler is registered.

--- a/app/hangup.c
+++ b/app/hangup.c
@@ -1,3 +1,5 @@
+//go:build cgo
+
 #include <signal.h>
 
 static void (*inherited_hangup)(int);
