--- a/standin/replica.go
+++ b/standin/replica.go
@@ -175,7 +175,7 @@
 		w.Header().Set(headerRequestLimit, faults.RequestLimit)
 	}
 	if faults.EndlessHead || faults.EndlessEvent {
-		writeEndlessly(w, faults)
+		p.writeEndlessly(w, r.Header.Get(p.protocol.attempt), faults)
 		return
 	}
 	if faults.Silent {
@@ -212,11 +212,11 @@
 	}
 }
 
-// writeEndlessly writes bytes that never form a complete response until the connection is closed.
-func writeEndlessly(w http.ResponseWriter, faults ReplicaFaults) {
+// writeEndlessly writes bytes that never form a complete response to an attempt until the connection is closed.
+func (p *Replica) writeEndlessly(w http.ResponseWriter, attempt string, faults ReplicaFaults) {
 	start := "HTTP/1.1 200 OK\r\nEndless: "
 	if faults.EndlessEvent {
-		start = "HTTP/1.1 200 OK\r\n" + HeaderSignature + ": by nobody\r\nContent-Type: text/event-stream\r\n\r\nid: 1\r\ndata: "
+		start = "HTTP/1.1 200 OK\r\n" + p.protocol.attempt + ": " + attempt + "\r\n" + HeaderSignature + ": by nobody\r\nContent-Type: text/event-stream\r\n\r\nid: 1\r\ndata: "
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
