--- a/integration/site_stop_test.go
+++ b/integration/site_stop_test.go
@@ -45,6 +45,8 @@
 func stopBesideRequests(s *site, v *gatewayVM) []lateRequest {
 	v.signal(s.t, syscall.SIGTERM)
 	signaledAt := time.Now()
+	// A request that arrives before the VM has noticed the signal was taken before the stop.
+	s.eventually(5*time.Second, "the VM stops", func() bool { return !s.isReady(v) })
 	responses := make([]lateRequest, lateRequests)
 	var callers sync.WaitGroup
 	for n := range lateRequests {
