--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -86,7 +86,10 @@
 	}
 	control := gateway.NewController(self, cfg.AvailabilityZone, options...)
 	beacons, err = whenPortFree(ctx, log, cfg.Listen.Peers, func() (beaconListener, error) {
-		socket, closeSocket, err := peer.ListenBeacons(cfg.Listen.Peers, control.HandleBeacon, func(err error) { log.Warn("beacon-rejected", zap.Error(err)) })
+		socket, closeSocket, err := peer.ListenBeacons(cfg.Listen.Peers, control.HandleBeacon, func(err error) { log.Warn("beacon-rejected", zap.Error(err)) },
+			peer.WithTrafficObserver(func(direction peer.Direction, scope peer.Scope, bytes int) {
+				gatewayMetrics.PeerBytes.WithLabelValues(string(direction), string(scope)).Add(float64(bytes))
+			}))
 		return beaconListener{socket, closeSocket}, err
 	})
 	if err != nil {
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -23,6 +23,10 @@
 
 const (
 	eventQueueCapacity = 4096
+	// maxEventDelay is the time for which an event may wait before that is logged, eventDelayLogInterval the minimum time
+	// between two such lines.
+	maxEventDelay         = 300 * time.Millisecond
+	eventDelayLogInterval = time.Second
 	// waitingPollInterval is how often the scheduler is polled while requests wait for placement.
 	waitingPollInterval = 10 * time.Millisecond
 )
@@ -37,7 +41,7 @@
 	metrics *metrics.Gateway
 	now     func() time.Time
 
-	events  chan func()
+	events  chan event
 	table   atomic.Pointer[routing.Table]
 	leaving atomic.Bool
 	// limitsNamed is whether any VM has heard of a request limit of a replica lately.
@@ -87,6 +91,7 @@
 	beacon                              beaconSchedule
 	// peersChanged is whether a peer has appeared, left or been heard again since updatePeers ran at peersUpdatedAt.
 	peersChanged   bool
+	delayLoggedAt  time.Time
 	peersUpdatedAt time.Time
 	// advertiseLevelsUntil is the time until which beacons include account levels. A VM that has just started adopts them.
 	advertiseLevelsUntil time.Time
@@ -118,7 +123,7 @@
 	limits := quota.NewReplicaLimits(self.VM)
 	cold := quota.NewColdLimits(self.VM, defaultColdTolerance)
 	c := &Controller{
-		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan func(), eventQueueCapacity),
+		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
 		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
@@ -139,21 +144,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case event := <-c.events:
-			event()
+		case e := <-c.events:
+			c.recordEventDelay(c.now(), e)
+			e.run()
 		case <-timer.C:
 		}
-		now := c.now()
-		c.deliverDecisions(now)
-		c.expireDoubtfulReplicas(now)
-		c.updatePeersIfDue(now)
-		c.readListIfDue(now)
-		c.checkDeclarationsIfDue(now)
-		c.sendBeaconIfDue(now)
-		timer.Reset(c.nextWake(now))
+		timer.Reset(c.runDueTasks(c.now()))
 	}
 }
 
+// runDueTasks runs the tasks of the event loop that are due, and returns how long it may sleep if no event arrives.
+func (c *Controller) runDueTasks(now time.Time) time.Duration {
+	c.deliverDecisions(now)
+	c.expireDoubtfulReplicas(now)
+	c.updatePeersIfDue(now)
+	c.readListIfDue(now)
+	c.checkDeclarationsIfDue(now)
+	c.sendBeaconIfDue(now)
+	return c.nextWake(now)
+}
+
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
 	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.declarationsCheckDueIn(now))
@@ -166,8 +176,24 @@
 	return max(wake, time.Millisecond)
 }
 
+// event is a function that waits for the control goroutine since postedAt.
+type event struct {
+	run      func()
+	postedAt time.Time
+}
+
 // post queues a function to run on the control goroutine. It blocks while the queue is full.
-func (c *Controller) post(event func()) { c.events <- event }
+func (c *Controller) post(run func()) { c.events <- event{run, c.now()} }
+
+// recordEventDelay records how long an event has waited, and logs it if that is long.
+func (c *Controller) recordEventDelay(now time.Time, e event) {
+	delay := now.Sub(e.postedAt)
+	c.metrics.EventDelay.Observe(delay.Seconds())
+	if delay > maxEventDelay && now.Sub(c.delayLoggedAt) >= eventDelayLogInterval {
+		c.delayLoggedAt = now
+		c.log.Warn("events-delayed", zap.Duration("Delay", delay), zap.Int("Waiting", len(c.events)))
+	}
+}
 
 // ask runs f on the control goroutine and waits for its result.
 func ask[T any](c *Controller, f func() T) T {
--- a/gateway/groups_test.go
+++ b/gateway/groups_test.go
@@ -125,7 +125,7 @@
 				continue
 			}
 			select {
-			case v.events <- func() { v.handleBeacon(b, from.address) }:
+			case v.events <- event{func() { v.handleBeacon(b, from.address) }, time.Now()}:
 			default:
 			}
 		}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -36,6 +36,10 @@
 	// BusyRefusals counts calls to plain services that were turned away since all upstreams were too busy, by pool and
 	// priority.
 	BusyRefusals *prometheus.CounterVec
+	// PeerBytes counts the bytes of beacons and summaries, by direction and scope. EventDelay is the time for which events waited
+	// for the goroutine that owns the control state, in seconds.
+	PeerBytes  *prometheus.CounterVec
+	EventDelay prometheus.Histogram
 	// LogLinesDropped counts log lines that were dropped.
 	LogLinesDropped prometheus.Counter
 }
@@ -59,9 +63,11 @@
 		ColdReplicas:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "cold_replicas", Help: "Replicas that are cold after a start."}),
 		EvacuatedZones:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "evacuated_zones", Help: "Availability zones that are evacuated."}),
 		BusyRefusals:        newCounterVec("busy_refusals_total", "Calls turned away since all upstreams were busy.", "pool", "priority"),
+		PeerBytes:           newCounterVec("peer_bytes_total", "Bytes of beacons and summaries.", "direction", "scope"),
+		EventDelay:          prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "event_delay_seconds", Help: "Time for which events of the control state waited.", Buckets: prometheus.ExponentialBuckets(0.0001, 4, 9)}),
 		LogLinesDropped:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that were left out."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures,
-		m.Connections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.LogLinesDropped)
+		m.Connections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.PeerBytes, m.EventDelay, m.LogLinesDropped)
 	return m
 }
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -106,16 +106,35 @@
 	CheckAge time.Duration
 }
 
+// Direction says whether a beacon was sent or received.
+type Direction string
+
+// Directions of a beacon.
+const (
+	Sent     Direction = "Sent"
+	Received Direction = "Received"
+)
+
 // BeaconSocket sends and receives beacons over UDP.
 type BeaconSocket struct {
 	conn *net.UDPConn
+	// observe is called with the bytes of the datagrams that are sent or received.
+	observe func(direction Direction, scope Scope, bytes int)
 	// batch sends many datagrams in one system call.
 	batch *ipv4.PacketConn
 }
 
+// BeaconOption configures a BeaconSocket.
+type BeaconOption func(*BeaconSocket)
+
+// WithTrafficObserver sets a function that is called with the bytes of the datagrams that are sent or received.
+func WithTrafficObserver(observe func(direction Direction, scope Scope, bytes int)) BeaconOption {
+	return func(b *BeaconSocket) { b.observe = observe }
+}
+
 // ListenBeacons listens on addr and calls received with each beacon and its sender's address until the returned function
 // is called. It calls rejected with the error for each datagram that cannot be received or decoded.
-func ListenBeacons(addr string, received func(Beacon, netip.AddrPort), rejected func(error)) (*BeaconSocket, func(), error) {
+func ListenBeacons(addr string, received func(Beacon, netip.AddrPort), rejected func(error), opts ...BeaconOption) (*BeaconSocket, func(), error) {
 	local, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
 		return nil, nil, &Error{Op: "listen for beacons", Kind: ErrFailed, Err: err}
@@ -124,7 +143,10 @@
 	if err != nil {
 		return nil, nil, &Error{Op: "listen for beacons", Kind: ErrFailed, Err: err}
 	}
-	b := &BeaconSocket{conn: conn, batch: ipv4.NewPacketConn(conn)}
+	b := &BeaconSocket{conn: conn, batch: ipv4.NewPacketConn(conn), observe: func(Direction, Scope, int) {}}
+	for _, opt := range opts {
+		opt(b)
+	}
 	go b.receive(received, rejected)
 	return b, func() { _ = conn.Close() }, nil
 }
@@ -140,21 +162,23 @@
 			rejected(&Error{Op: "receive beacon", Kind: ErrUnreachable, Err: err})
 			continue
 		}
-		beacon, err := decodeBeacon(buffer[:n])
+		beacon, err := DecodeBeacon(buffer[:n])
 		if err != nil {
 			rejected(err)
 			continue
 		}
+		b.observe(Received, beacon.Scope, n)
 		received(beacon, from)
 	}
 }
 
 // Send sends a beacon to all addresses and returns the last error. Delivery is not guaranteed.
 func (b *BeaconSocket) Send(beacon Beacon, to []*net.UDPAddr) error {
-	data, err := encodeBeacon(beacon)
+	data, err := EncodeBeacon(beacon)
 	if err != nil {
 		return &Error{Op: "encode beacon", Kind: ErrFailed, Err: err}
 	}
+	b.observe(Sent, beacon.Scope, len(data)*len(to))
 	buffers := [][]byte{data}
 	messages := make([]ipv4.Message, len(to))
 	for i, addr := range to {
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -171,7 +171,8 @@
 
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-func encodeBeacon(b Beacon) ([]byte, error) {
+// EncodeBeacon returns the datagram that carries a beacon: a JSON-RPC notification.
+func EncodeBeacon(b Beacon) ([]byte, error) {
 	request := jsonrpc2.Request{Method: methodBeacon, Notif: true}
 	if err := request.SetParams(newBeaconMessage(b)); err != nil {
 		return nil, err
@@ -179,7 +180,8 @@
 	return json.Marshal(&request)
 }
 
-func decodeBeacon(data []byte) (Beacon, error) {
+// DecodeBeacon parses a datagram. Its errors are of type *Error.
+func DecodeBeacon(data []byte) (Beacon, error) {
 	var request jsonrpc2.Request
 	if err := json.Unmarshal(data, &request); err != nil {
 		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
--- a/peer/beacon_test.go
+++ b/peer/beacon_test.go
@@ -51,7 +51,7 @@
 
 // TestBeaconWithoutCheckCountsAsCheck guards against a peer of an earlier version that is taken for one that checks the store.
 func TestBeaconWithoutCheckCountsAsCheck(t *testing.T) {
-	b, err := decodeBeacon([]byte(`{"jsonrpc":"2.0","method":"Beacon","params":{"VM":"v"}}`))
+	b, err := DecodeBeacon([]byte(`{"jsonrpc":"2.0","method":"Beacon","params":{"VM":"v"}}`))
 	require.NoError(t, err)
 	assert.Negative(t, b.CheckAge)
 }
@@ -59,7 +59,7 @@
 func FuzzBeacon(f *testing.F) {
 	f.Add([]byte(`{"jsonrpc":"2.0","method":"Beacon","params":{"VM":"v","Loads":{"i":[1,2]},"Spent":{"a":1e300}}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		b, err := decodeBeacon(data)
+		b, err := DecodeBeacon(data)
 		if err == nil {
 			assert.NotEmpty(t, b.VM)
 		}
