--- /dev/null
+++ b/gateway/fleet_simulation_test.go
@@ -0,0 +1,520 @@
+package gateway
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/peer"
+	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/routing"
+)
+
+// Parameters of a simulated fleet in two regions, whose store stands in the north.
+const (
+	// simVMBytesPerSecond is the rate of each VM's link in each direction, simRegionBytesPerSecond that of the link between
+	// the regions.
+	simVMBytesPerSecond     = 10e6 / 8
+	simRegionBytesPerSecond = 60e6 / 8
+	simZoneDelay            = 500 * time.Microsecond
+	simRegionDelay          = 20 * time.Millisecond
+	simStoreTime            = 4 * time.Millisecond
+	// simMaxLinkWait is the time that a datagram may wait at a link before it is dropped.
+	simMaxLinkWait = time.Second
+	// simEntryBytes is the size of an entry of the list of replicas, simConfigSize that of the declarations.
+	simEntryBytes = 190
+	simConfigSize = 20_000
+)
+
+// simEvent is something that happens at a time of the simulation.
+type simEvent struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int      { return len(q) }
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q *simQueue) Push(e any) { *q = append(*q, e.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// simLink is a link that sends one message after another.
+type simLink struct {
+	rate      float64
+	busyUntil time.Time
+	bytes     int
+}
+
+// send returns when a message that is handed over at a time has left the link.
+func (l *simLink) send(at time.Time, size int) time.Time {
+	l.busyUntil = later(l.busyUntil, at).Add(time.Duration(float64(size) / l.rate * float64(time.Second)))
+	l.bytes += size
+	return l.busyUntil
+}
+
+func (l *simLink) wait(at time.Time) time.Duration { return max(0, l.busyUntil.Sub(at)) }
+
+// simVM is one VM of a simFleet.
+type simVM struct {
+	*Controller
+	zone, region string
+	address      netip.AddrPort
+	up, down     simLink
+	// wake numbers the planned wake-ups; an older one does nothing.
+	wake int
+	// held holds what arrives while the VM is frozen.
+	held   []func()
+	frozen bool
+	// cutFromStore is whether reads of the store fail, listNext the offset that its next read of the list starts at.
+	cutFromStore bool
+	listNext     uint64
+	listSnapshot bool
+	listReads    int
+	configRead   uint64
+}
+
+// simFleet runs the control state of VMs in simulated time, with links of limited rate and a store.
+type simFleet struct {
+	t       testing.TB
+	now     time.Time
+	start   time.Time
+	events  simQueue
+	order   int
+	vms     []*simVM
+	byName  map[string]*simVM
+	byAddr  map[netip.AddrPort]*simVM
+	between map[string]*simLink
+	// replicas holds the list of replicas, changes the entries that changed it, by offset.
+	replicas []placement.Replica
+	changes  map[uint64]placement.Replica
+	config   routing.Declarations
+	// leaves counts the replicas that have left.
+	leaves int
+	// listReadAt and checkedAt are when the store last answered a read of the list, and a check of the declarations, of any VM.
+	// tooYoung holds messages by which that was later.
+	listReadAt, checkedAt time.Time
+	tooYoung              []string
+}
+
+const (
+	simNorth = "north"
+	simSouth = "south"
+)
+
+// newSimFleet returns a fleet of VMs in three zones of each region that know each other, before a number of replicas.
+func newSimFleet(t testing.TB, vms, replicas int) *simFleet {
+	t.Helper()
+	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f := &simFleet{t: t, now: begin, start: begin, byName: map[string]*simVM{}, byAddr: map[netip.AddrPort]*simVM{}, changes: map[uint64]placement.Replica{},
+		between: map[string]*simLink{simNorth: {rate: simRegionBytesPerSecond}, simSouth: {rate: simRegionBytesPerSecond}}}
+	zones := []string{"a-south-1", "a-south-2", "a-south-3", "b-north-1", "b-north-2", "b-north-3"}
+	regions := map[string]string{}
+	for n, zone := range zones {
+		regions[zone] = simNorth
+		if n < 3 {
+			regions[zone] = simSouth
+		}
+	}
+	for n := range replicas {
+		f.replicas = append(f.replicas, placement.Replica{ID: fmt.Sprintf("i-%010x", n), Pool: "p", Address: fmt.Sprintf("10.%d.64.%d:8080", n/200+1, n%200+1), Zone: zones[n%6], Slots: 32,
+			Stage: []placement.Stage{placement.StagePrefill, placement.StageDecode, placement.StageDecode}[n/6%3]})
+	}
+	var accounts []routing.Account
+	for n := range 16 {
+		accounts = append(accounts, routing.Account{Name: fmt.Sprintf("account-%03d", n), Priority: -1, TokensPerSecond: 1e6, BurstTokens: 1e7})
+	}
+	f.config = routing.Declarations{Version: 1, Accounts: accounts, Pools: []routing.Pool{{Name: "p", Engine: &routing.EngineSpec{MaxRunning: 32, MemoryTokens: 75_000}}}}
+	for n := range vms {
+		f.addVM(fmt.Sprintf("vm-%s-%d", zones[n%6], n/6+1), zones[n%6], regions)
+	}
+	for _, v := range f.vms {
+		for _, other := range f.vms {
+			v.registerVM(other.self.VM, other.address.String())
+		}
+		for _, other := range f.vms {
+			if p := v.peers[other.self.VM]; p != nil {
+				p.zone = other.zone
+			}
+		}
+		v.updateLayout()
+		v.SetDeclarations(f.config)
+		v.configRead = 1
+		f.wakeAt(v, f.now.Add(time.Duration(len(v.self.VM)*7)*time.Millisecond))
+		f.every(v, 100*time.Millisecond)
+	}
+	return f
+}
+
+func (f *simFleet) addVM(name, zone string, regions map[string]string) {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(f.vms) / 250), byte(1 + len(f.vms)%250)}), 7500)
+	v := &simVM{zone: zone, region: regions[zone], address: addr, up: simLink{rate: simVMBytesPerSecond}, down: simLink{rate: simVMBytesPerSecond}}
+	v.Controller = NewController(peer.Identity{VM: name, Incarnation: "x"}, zone, func(c *Controller) { c.now = func() time.Time { return f.now } }, WithRegions(regions),
+		WithBeaconSender(func(b peer.Beacon, to []*net.UDPAddr) error { return f.sendBeacon(v, b, to) }),
+		WithDeclarationsRefresh(func() { f.readConfig(v) }), WithListReader(func() { f.readList(v) }), WithDeclarationsCheck(func() { f.check(v) }))
+	v.Controller.address = addr.String()
+	f.vms = append(f.vms, v)
+	f.byName[name], f.byAddr[addr] = v, v
+}
+
+// every keeps a VM busy: it admits a request at the interval, and holds some at engines.
+func (f *simFleet) every(v *simVM, interval time.Duration) {
+	account := 0
+	var admit func()
+	admit = func() {
+		account++
+		now := f.now
+		v.quotas.Take(now, fmt.Sprintf("account-%03d", account%16), 100)
+		v.beacon.tokensSpent = true
+		if account%5 == 0 {
+			v.beacon.dirty = true
+		}
+		f.at(now.Add(interval), admit)
+	}
+	f.at(f.now.Add(interval), admit)
+	for n := range 4 {
+		v.scheduler.Submit(placement.Request{ID: uint64(1_000_000 + n), Pool: "p", PromptTokens: 3000, OutputTokens: 70, ArrivedAt: f.now, FirstEventDueAt: f.now.Add(time.Hour), ExpiresAt: f.now.Add(time.Hour)})
+	}
+}
+
+func (f *simFleet) at(at time.Time, run func()) {
+	f.order++
+	heap.Push(&f.events, simEvent{at: at, order: f.order, run: run})
+}
+
+// onVM runs a function on a VM at a time, or when it wakes up if it is frozen, and then the tasks that are due.
+func (f *simFleet) onVM(v *simVM, at time.Time, run func()) {
+	f.at(at, func() {
+		if v.frozen {
+			v.held = append(v.held, run)
+			return
+		}
+		run()
+		f.runTasks(v)
+	})
+}
+
+func (f *simFleet) wakeAt(v *simVM, at time.Time) {
+	v.wake++
+	wake := v.wake
+	f.at(at, func() {
+		if wake == v.wake && !v.frozen {
+			f.runTasks(v)
+		}
+	})
+}
+
+// runTasks runs what has been posted to a VM and its due tasks, as its event loop does.
+func (f *simFleet) runTasks(v *simVM) {
+	for len(v.events) > 0 {
+		(<-v.events).run()
+	}
+	f.wakeAt(v, f.now.Add(v.runDueTasks(f.now)))
+}
+
+// run lets a period pass.
+func (f *simFleet) run(period time.Duration) {
+	end := f.now.Add(period)
+	for len(f.events) > 0 && !f.events[0].at.After(end) {
+		e := heap.Pop(&f.events).(simEvent)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// runUntil lets time pass until a condition holds on all VMs but those that are frozen, and returns how long that took.
+func (f *simFleet) runUntil(limit time.Duration, condition func(v *simVM) bool) time.Duration {
+	begin := f.now
+	for f.now.Sub(begin) < limit {
+		f.run(10 * time.Millisecond)
+		if !slices.ContainsFunc(f.vms, func(v *simVM) bool { return !v.frozen && !condition(v) }) {
+			break
+		}
+	}
+	return f.now.Sub(begin)
+}
+
+// transfer returns when a message has passed the links from one place to another, and false if one of them is overfull.
+func (f *simFleet) transfer(from, to *simLink, fromRegion, toRegion string, size int) (time.Time, bool) {
+	at, delay := f.now, simZoneDelay
+	for _, link := range []*simLink{from, f.between[fromRegion], to} {
+		if link == nil || link == f.between[fromRegion] && fromRegion == toRegion {
+			continue
+		}
+		if link.wait(at) > simMaxLinkWait {
+			return at, false
+		}
+		at = link.send(at, size)
+	}
+	if fromRegion != toRegion {
+		delay += simRegionDelay
+	}
+	return at.Add(delay), true
+}
+
+func (f *simFleet) sendBeacon(v *simVM, b peer.Beacon, to []*net.UDPAddr) error {
+	data, err := peer.EncodeBeacon(b)
+	require.NoError(f.t, err)
+	f.checkAges(v, b)
+	for _, addr := range to {
+		other := f.byAddr[addr.AddrPort()]
+		if at, ok := f.transfer(&v.up, &other.down, v.region, other.region, len(data)); ok {
+			f.onVM(other, at, func() { other.handleBeacon(b, v.address) })
+		}
+	}
+	return nil
+}
+
+// checkAges records a message that tells of a later read or check than there has been.
+func (f *simFleet) checkAges(v *simVM, b peer.Beacon) {
+	const rounding = time.Millisecond
+	tooYoung := func(age time.Duration, at time.Time) bool { return age >= 0 && f.now.Add(-age-rounding).After(at) }
+	if tooYoung(b.ListAge, f.listReadAt) || tooYoung(b.CheckAge, f.checkedAt) {
+		f.tooYoung = append(f.tooYoung, fmt.Sprintf("%v: %s %s list %v, %v ago, check %v, %v ago", f.now.Sub(f.start), v.self.VM, b.Scope, b.ListAge, f.now.Sub(f.listReadAt), b.CheckAge, f.now.Sub(f.checkedAt)))
+	}
+}
+
+// endOffset is the offset after the last record of the list of replicas.
+func (f *simFleet) endOffset() uint64 { return uint64(len(f.replicas) + len(f.changes)) }
+
+// answer sends an answer of the store to a VM, after the way there and back.
+func (f *simFleet) answer(v *simVM, size func() int, apply func()) {
+	if v.cutFromStore {
+		return
+	}
+	asked, _ := f.transfer(&v.up, nil, v.region, simNorth, 200)
+	f.at(asked.Add(simStoreTime), func() {
+		at, ok := f.transfer(nil, &v.down, simNorth, v.region, size())
+		if !ok {
+			// Streams are sent again.
+			at = f.now.Add(2 * simMaxLinkWait)
+		}
+		f.onVM(v, at, func() {
+			if !v.cutFromStore {
+				apply()
+			}
+		})
+	})
+}
+
+// readList lets a VM read the list of replicas.
+func (f *simFleet) readList(v *simVM) {
+	var update ReplicaUpdate
+	f.answer(v, func() int {
+		v.listReads++
+		update = ReplicaUpdate{Next: f.endOffset(), offsets: map[string]uint64{}, versions: map[string]EntryVersion{}, coldFor: map[string]time.Duration{}}
+		records := update.Next - v.listNext
+		if !v.listSnapshot {
+			update.Snapshot, update.Listed, records = true, slices.Clone(f.replicas), uint64(len(f.replicas))
+		} else {
+			for offset, replica := range f.changes {
+				if offset >= v.listNext {
+					update.Listed = append(update.Listed, replica)
+					update.offsets[replica.ID] = offset
+				}
+			}
+		}
+		return int(records) * simEntryBytes
+	}, func() {
+		v.listSnapshot, f.listReadAt = true, f.now
+		v.listNext = max(v.listNext, update.Next)
+		v.applyReplicas(f.now, update)
+	})
+}
+
+func (f *simFleet) readConfig(v *simVM) {
+	var d routing.Declarations
+	f.answer(v, func() int {
+		d = f.config
+		return simConfigSize
+	}, func() {
+		v.configRead = max(v.configRead, d.Version)
+		v.SetDeclarations(d)
+	})
+}
+
+// check answers whether there are newer declarations.
+func (f *simFleet) check(v *simVM) {
+	var version uint64
+	f.answer(v, func() int {
+		version = f.config.Version
+		return 200
+	}, func() {
+		f.checkedAt = f.now
+		v.RecordDeclarationsCheck()
+		if version > v.configRead {
+			f.readConfig(v)
+		}
+	})
+}
+
+// configure writes new declarations. The waiting reads of all VMs are answered.
+func (f *simFleet) configure() {
+	f.config.Version++
+	for _, v := range f.vms {
+		f.readConfig(v)
+	}
+}
+
+// leave has a replica write that it is leaving.
+func (f *simFleet) leave(n int) placement.Replica {
+	offset := f.endOffset()
+	replica := f.replicas[n]
+	replica.Leaving = true
+	f.replicas[n] = replica
+	f.changes[offset] = replica
+	return replica
+}
+
+func (f *simFleet) freeze(v *simVM) { v.frozen = true }
+
+func (f *simFleet) thaw(v *simVM) {
+	v.frozen = false
+	held := v.held
+	v.held = nil
+	for _, run := range held {
+		run()
+	}
+	f.runTasks(v)
+}
+
+// traffic returns the bytes per second that the VMs send and receive, in ascending order, since resetTraffic.
+func (f *simFleet) traffic(period time.Duration) []float64 {
+	var rates []float64
+	for _, v := range f.vms {
+		rates = append(rates, float64(v.up.bytes+v.down.bytes)/period.Seconds())
+	}
+	slices.Sort(rates)
+	return rates
+}
+
+func (f *simFleet) resetTraffic() {
+	for _, v := range f.vms {
+		v.up.bytes, v.down.bytes = 0, 0
+	}
+	for _, link := range f.between {
+		link.bytes = 0
+	}
+}
+
+// Targets that hold for a fleet of any size.
+const (
+	configTarget = time.Second
+	// drainBound is the time within which the users' largest deployment of two regions sends nothing more to a replica that leaves.
+	drainBound = 4 * time.Second
+	// maxBusiest bounds the traffic of the busiest VM, as a multiple of that in the middle.
+	maxBusiest = 2
+)
+
+func isConfigured(f *simFleet) func(*simVM) bool {
+	return func(v *simVM) bool { return v.version() == f.config.Version }
+}
+
+func knowsLeaving(id string) func(*simVM) bool {
+	return func(v *simVM) bool { return !v.scheduler.Serves(id) }
+}
+
+// simSizes are the numbers of VMs that are simulated.
+var simSizes = []int{30, 79, 300}
+
+// forEachSize runs a test on a fleet of each size that has run for some seconds.
+func forEachSize(t *testing.T, test func(t *testing.T, f *simFleet)) {
+	for _, size := range simSizes {
+		t.Run(fmt.Sprintf("%d VMs", size), func(t *testing.T) {
+			t.Parallel()
+			f := newSimFleet(t, size, 4*size)
+			f.run(6 * time.Second)
+			test(t, f)
+		})
+	}
+}
+
+// TestRelaysOfALargeFleetFillTheirLinks guards against VMs that carry many times what others do, so that what waits behind it
+// on their links is late.
+func TestRelaysOfALargeFleetFillTheirLinks(t *testing.T) {
+	t.Parallel()
+	forEachSize(t, func(t *testing.T, f *simFleet) {
+		const period = 3 * time.Second
+		f.resetTraffic()
+		f.run(period)
+		rates := f.traffic(period)
+		middle, busiest := rates[len(rates)/2], rates[len(rates)-1]
+		t.Logf("%.0f kB/s in the middle, %.0f at the busiest, %.0f between the regions", middle/1000, busiest/1000, float64(f.between[simNorth].bytes)/period.Seconds()/1000)
+		assert.LessOrEqual(t, busiest, maxBusiest*middle)
+		took := time.Duration(0)
+		for range 3 {
+			f.configure()
+			took = max(took, f.runUntil(10*time.Second, isConfigured(f)))
+			f.run(time.Second)
+		}
+		t.Logf("declarations in force after %v", took)
+		assert.LessOrEqual(t, took, configTarget)
+	})
+}
+
+// TestLeavingReplicaIsUsedOnWhileTheReaderOfTheListFails guards against VMs that take the last read of the list for fresh after
+// the VM that read it for all has frozen, or gets no more answers.
+func TestLeavingReplicaIsUsedOnWhileTheReaderOfTheListFails(t *testing.T) {
+	t.Parallel()
+	forEachSize(t, func(t *testing.T, f *simFleet) {
+		byRank := slices.SortedFunc(slices.Values(f.vms), func(a, b *simVM) int { return cmp.Compare(a.self.VM, b.self.VM) })
+		leave := func(what string) {
+			f.run(300 * time.Millisecond)
+			id := f.leave(f.leaves).ID
+			f.leaves++
+			took := f.runUntil(2*drainBound, knowsLeaving(id))
+			t.Logf("%s: in force after %v", what, took)
+			assert.LessOrEqual(t, took, drainBound, what)
+		}
+		leave("calm")
+		for n, v := range byRank[:3] {
+			f.freeze(v)
+			leave(fmt.Sprintf("%d readers frozen", n+1))
+		}
+		for _, v := range byRank[:3] {
+			f.thaw(v)
+		}
+		f.run(3 * time.Second)
+		for n, v := range byRank[:6] {
+			v.cutFromStore = true
+			f.run(time.Duration(n) * 150 * time.Millisecond)
+			id := f.leave(f.leaves).ID
+			f.leaves++
+			took := f.runUntil(2*drainBound, func(other *simVM) bool { return other.cutFromStore || knowsLeaving(id)(other) })
+			t.Logf("%d readers without answers: in force after %v", n+1, took)
+			assert.LessOrEqual(t, took, drainBound)
+		}
+	})
+}
+
+// TestSummaryMakesAnOldReadLookFresh guards against a relay that passes on the age of a read as it was when it arrived, so that
+// VMs of other groups do not take over from a reader that has failed.
+func TestSummaryMakesAnOldReadLookFresh(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 30, 30)
+	f.run(3 * time.Second)
+	f.freeze(f.byName["vm-a-south-1-1"])
+	f.run(3 * time.Second)
+	f.thaw(f.byName["vm-a-south-1-1"])
+	f.run(time.Second)
+	f.byName["vm-a-south-1-1"].cutFromStore = true
+	f.run(3 * time.Second)
+	assert.Empty(t, f.tooYoung)
+}
