placement: a list of replicas is applied in linear work; beacons don't sort all replicas

Cause: SetReplica grouped all replicas into pools anew, sorted, for each replica of a list that is read, and looked through all for the address. Each beacon sorted all IDs twice, each read of the list copied and sorted them, and so did each VM once a second for the copy that only one writes. Change: pools are grouped at the first use after a change; replicas are found by address; only IDs that are told are sorted.

--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -57,16 +57,20 @@
 	evacuated []string
 }
 
-// collectCopyState returns the state to copy, without doubtful replicas. The leader is the VM with the lowest name
+// collectCopyState returns the state to copy, without doubtful replicas, if this VM is the leader. The leader is the VM with the lowest name
 // among those that are neither silent nor leaving.
 func (c *Controller) collectCopyState() copyState {
 	return ask(c, func() copyState {
-		k := copyState{leader: true, table: c.table.Load(), quarantined: c.quarantine.Quarantined(), vms: c.vmRecords(), evacuated: slices.Sorted(maps.Keys(c.zones.evacuated))}
+		k := copyState{leader: true}
 		for name, p := range c.peers {
 			if name < c.self.VM && !p.silent && !p.leaving {
 				k.leader = false
 			}
 		}
+		if !k.leader {
+			return k
+		}
+		k.table, k.quarantined, k.vms, k.evacuated = c.table.Load(), c.quarantine.Quarantined(), c.vmRecords(), slices.Sorted(maps.Keys(c.zones.evacuated))
 		for _, replica := range c.scheduler.Replicas() {
 			if !replica.Doubtful {
 				k.replicas = append(k.replicas, replica)
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -102,13 +102,10 @@
 	for _, err := range update.Unreadable {
 		c.log.Warn("replica-entry-unreadable", zap.Error(err))
 	}
-	known := map[string]placement.Replica{}
-	for _, replica := range c.scheduler.Replicas() {
-		known[replica.ID] = replica
-	}
+	listed := make(map[string]bool, len(update.Listed))
 	for _, replica := range update.Listed {
-		old, exists := known[replica.ID]
-		delete(known, replica.ID)
+		old, exists := c.scheduler.Replica(replica.ID)
+		listed[replica.ID] = true
 		if c.isOutdated(update, replica.ID) {
 			continue
 		}
@@ -124,17 +121,18 @@
 			zap.String("Zone", replica.Zone), zap.Stringer("Stage", replica.Stage), zap.Bool("Leaving", replica.Leaving))
 	}
 	for _, id := range update.Removed {
-		if replica, exists := known[id]; exists {
+		if replica, exists := c.scheduler.Replica(id); exists {
 			c.removeReplica(now, replica)
 			c.recordListChange(update.offsets[id])
-			delete(known, id)
 		}
 	}
 	if !update.Snapshot {
 		return
 	}
-	for _, replica := range known {
-		c.removeReplica(now, replica)
+	for _, replica := range c.scheduler.Replicas() {
+		if !listed[replica.ID] {
+			c.removeReplica(now, replica)
+		}
 	}
 }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -18,8 +18,11 @@
 // Scheduler tracks the upstreams known to one VM and queues requests that wait for engines. It is not safe for
 // concurrent use.
 type Scheduler struct {
-	zone           string
-	replicas       map[string]*replica
+	zone     string
+	replicas map[string]*replica
+	// byAddress holds the listed replicas by address. Addresses are given to other replicas in time.
+	byAddress map[string]map[string]*replica
+	// pools holds the replicas of each pool, sorted by ID. It is nil if replicas have changed since it was computed.
 	pools          map[string][]*replica
 	engineSpecs    map[string]routing.EngineSpec
 	waitEstimators map[string]*waitEstimator
@@ -49,7 +52,7 @@
 // NewScheduler returns a Scheduler without replicas for a VM in the given availability zone, which keeps to limits and cold.
 // random must return numbers in [0, 1).
 func NewScheduler(zone string, limits *quota.ReplicaLimits, cold *quota.ColdLimits, random func() float64) *Scheduler {
-	return &Scheduler{zone: zone, limits: limits, cold: cold, replicas: map[string]*replica{}, pools: map[string][]*replica{}, engineSpecs: map[string]routing.EngineSpec{},
+	return &Scheduler{zone: zone, limits: limits, cold: cold, replicas: map[string]*replica{}, byAddress: map[string]map[string]*replica{}, engineSpecs: map[string]routing.EngineSpec{},
 		waitEstimators: map[string]*waitEstimator{}, requests: map[uint64]*Request{}, random: random, ownCalls: map[CallClass]int{}, callRates: newCallRates(), peerLoads: map[string]map[string]Load{}, peerUnreachable: map[string][]string{}}
 }
 
@@ -74,19 +77,39 @@
 		s.markReplacedAt(listed)
 	}
 	if old == nil || old.Address != listed.Address {
+		s.forgetAddress(old)
 		s.replicas[listed.ID] = newReplica(listed)
+		s.recordAddress(s.replicas[listed.ID])
 	} else {
 		old.Replica = listed
 	}
 	s.replicas[listed.ID].evacuated = s.evacuated[listed.Zone]
-	s.rebuildPools()
+	s.pools = nil
+}
+
+func (s *Scheduler) recordAddress(r *replica) {
+	if s.byAddress[r.Address] == nil {
+		s.byAddress[r.Address] = map[string]*replica{}
+	}
+	s.byAddress[r.Address][r.ID] = r
+}
+
+// forgetAddress removes a replica, which may be nil, from those at its address.
+func (s *Scheduler) forgetAddress(r *replica) {
+	if r == nil {
+		return
+	}
+	delete(s.byAddress[r.Address], r.ID)
+	if len(s.byAddress[r.Address]) == 0 {
+		delete(s.byAddress, r.Address)
+	}
 }
 
 // markReplacedAt marks the replicas that share the address of a newly listed replica as replaced. Their list
 // entries remain for several heartbeats after they are gone.
 func (s *Scheduler) markReplacedAt(listed Replica) {
-	for _, r := range s.replicas {
-		if r.Address == listed.Address && r.ID != listed.ID {
+	for _, r := range s.byAddress[listed.Address] {
+		if r.ID != listed.ID {
 			r.replaced = true
 		}
 	}
@@ -94,8 +117,9 @@
 
 // RemoveReplica removes a replica. Requests in flight at the replica are not affected.
 func (s *Scheduler) RemoveReplica(id string) {
+	s.forgetAddress(s.replicas[id])
 	delete(s.replicas, id)
-	s.rebuildPools()
+	s.pools = nil
 }
 
 // Replicas returns all listed replicas, sorted by ID.
@@ -122,13 +146,17 @@
 	return r != nil && r.eligible()
 }
 
-// rebuildPools groups the replicas by pool, sorted by ID.
-func (s *Scheduler) rebuildPools() {
-	clear(s.pools)
-	for _, id := range slices.Sorted(maps.Keys(s.replicas)) {
-		r := s.replicas[id]
-		s.pools[r.Pool] = append(s.pools[r.Pool], r)
+// pool returns the replicas of a pool, sorted by ID. They are grouped anew at the first call after a change: a list of replicas
+// that is read brings many changes at once.
+func (s *Scheduler) pool(name string) []*replica {
+	if s.pools == nil {
+		s.pools = map[string][]*replica{}
+		for _, id := range slices.Sorted(maps.Keys(s.replicas)) {
+			r := s.replicas[id]
+			s.pools[r.Pool] = append(s.pools[r.Pool], r)
+		}
 	}
+	return s.pools[name]
 }
 
 // SetPeerLoads replaces the loads reported by another VM, by replica ID.
@@ -191,12 +219,18 @@
 
 // ReplacedIDs returns the sorted IDs of listed replicas whose addresses are now used by other replicas.
 func (s *Scheduler) ReplacedIDs() []string {
+	return s.idsWhere(func(r *replica) bool { return r.replaced })
+}
+
+// idsWhere returns the sorted IDs of the replicas for which a condition holds.
+func (s *Scheduler) idsWhere(holds func(*replica) bool) []string {
 	var ids []string
-	for _, id := range slices.Sorted(maps.Keys(s.replicas)) {
-		if s.replicas[id].replaced {
+	for id, r := range s.replicas {
+		if holds(r) {
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
@@ -205,7 +239,7 @@
 // if there are no others.
 func (s *Scheduler) candidates(now time.Time, pool string, stage Stage, avoid []string, regions routing.RegionLimit) []*replica {
 	var preferred, fallback []*replica
-	for _, r := range s.pools[pool] {
+	for _, r := range s.pool(pool) {
 		if r.Stage != stage || !r.eligible() || slices.Contains(avoid, r.ID) || !regions.Allows(s.regions[r.Zone]) {
 			continue
 		}
--- a/placement/unreachable.go
+++ b/placement/unreachable.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -22,13 +21,7 @@
 // fleet each VM sends few requests, so without the reports of others each would find a dead replica by itself, and lose
 // a request to it each time.
 func (s *Scheduler) UnreachableIDs(now time.Time) []string {
-	var ids []string
-	for _, id := range slices.Sorted(maps.Keys(s.replicas)) {
-		if r := s.replicas[id]; r.unreachable && now.Before(r.backoffUntil) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
+	return s.idsWhere(func(r *replica) bool { return r.unreachable && now.Before(r.backoffUntil) })
 }
 
 // SetPeerUnreachable replaces the IDs of the replicas that another VM reports as unreachable. Replicas that several
