peer, gateway: what a VM passes on is as old as it is

Cause: a relay sent on the ages of others' reads and limits, and what remains of a cold period, as they were when they arrived, on two hops, for as long as their sender was not silent. A read by a VM that had since frozen looked fresh for up to 1.5 s more to VMs of other groups, which took over later. A VM that wakes up took for new what had lain in its socket. Change: Beacon.Aged adds the time; after a stall of the event loop, messages count as older by its length.

--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -44,6 +44,7 @@
 		return
 	}
 	now := c.now()
+	b = c.stall.aged(now, b)
 	afterSilence := p.silent && p.incarnation == b.Incarnation
 	c.recordHeard(now, p, b)
 	c.recordGroupMate(now, p, b)
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -92,6 +92,7 @@
 	// peersChanged is whether a peer has appeared, left or been heard again since updatePeers ran at peersUpdatedAt.
 	peersChanged   bool
 	delayLoggedAt  time.Time
+	stall          stall
 	peersUpdatedAt time.Time
 	// advertiseLevelsUntil is the time until which beacons include account levels. A VM that has just started adopts them.
 	advertiseLevelsUntil time.Time
@@ -155,6 +156,7 @@
 
 // runDueTasks runs the tasks of the event loop that are due, and returns how long it may sleep if no event arrives.
 func (c *Controller) runDueTasks(now time.Time) time.Duration {
+	c.stall.recordTurn(now)
 	c.deliverDecisions(now)
 	c.expireDoubtfulReplicas(now)
 	c.updatePeersIfDue(now)
--- a/gateway/groups.go
+++ b/gateway/groups.go
@@ -140,7 +140,7 @@
 		}
 	}
 	g.spentInside.Record(run, b.SpentTokens)
-	p.state, p.startedAt = b, now.Add(-b.Uptime)
+	p.state, p.stateAt, p.startedAt = b, now, now.Add(-b.Uptime)
 }
 
 // relayName returns the relay of this VM's group: the first by name of those that are heard and stay. It may be this VM.
@@ -246,7 +246,7 @@
 	members := []peer.Member{c.newMember(now, c.self.VM, c.zone, c.leaving.Load(), c.startedAt, c.address)}
 	for _, name := range c.groups.mates {
 		if p := c.peers[name]; !p.silent && !p.lastBeaconAt.IsZero() {
-			states = append(states, p.state)
+			states = append(states, p.state.Aged(now.Sub(p.stateAt)))
 			members = append(members, c.newMember(now, name, p.zone, p.leaving, p.startedAt, p.address.String()))
 		}
 	}
@@ -269,8 +269,9 @@
 	var members []peer.Member
 	for _, r := range c.groups.relays {
 		if now.Sub(r.heardAt) <= silenceTimeout {
-			states = append(states, r.summary)
-			members = append(members, r.summary.Members...)
+			summary := r.summary.Aged(now.Sub(r.heardAt))
+			states = append(states, summary)
+			members = append(members, summary.Members...)
 		}
 	}
 	b := c.newSummary(now, peer.ScopeOutside, states)
@@ -285,6 +286,7 @@
 		return
 	}
 	now := c.now()
+	b = c.stall.aged(now, b)
 	sameGroup := g.layout.GroupOf(b.VM) == g.layout.GroupOf(c.self.VM)
 	switch {
 	case b.Scope == peer.ScopeOutside && sameGroup:
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -53,8 +53,10 @@
 	vmCount int
 	// zone is its availability zone, or empty if it is not known.
 	zone string
-	// state is its last beacon, and startedAt when its process started. They are kept in a fleet that is divided into groups.
+	// state is its last beacon, which arrived at stateAt, and startedAt when its process started. They are kept in a fleet that
+	// is divided into groups.
 	state     peer.Beacon
+	stateAt   time.Time
 	startedAt time.Time
 }
 
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -106,6 +106,31 @@
 	CheckAge time.Duration
 }
 
+// Aged returns the beacon as it would tell the same facts after a period: ages are higher, and what remains of a period is
+// less. A VM that passes on what others told must add the time for which it has kept it.
+func (b Beacon) Aged(by time.Duration) Beacon {
+	b.Uptime += by
+	if b.ListAge >= 0 {
+		b.ListAge += by
+	}
+	if b.CheckAge >= 0 {
+		b.CheckAge += by
+	}
+	b.ReplicaLimits = mapValues(b.ReplicaLimits, func(r quota.LimitReport) quota.LimitReport { return quota.LimitReport{Limit: r.Limit, Age: r.Age + by} })
+	b.Members = convertAll(b.Members, func(m Member) Member {
+		m.Uptime += by
+		return m
+	})
+	cold := make(map[string]time.Duration, len(b.ColdReplicas))
+	for id, remaining := range b.ColdReplicas {
+		if remaining > by {
+			cold[id] = remaining - by
+		}
+	}
+	b.ColdReplicas = cold
+	return b
+}
+
 // Direction says whether a beacon was sent or received.
 type Direction string
 
--- a/peer/beacon_test.go
+++ b/peer/beacon_test.go
@@ -65,3 +65,13 @@
 		}
 	})
 }
+
+// TestAgedBeacon guards against facts that look newer after they have been kept than they are.
+func TestAgedBeacon(t *testing.T) {
+	b := Beacon{Uptime: time.Minute, ListAge: time.Second, CheckAge: -time.Millisecond, ReplicaLimits: map[string]quota.LimitReport{"r": {Limit: 2, Age: time.Second}},
+		ColdReplicas: map[string]time.Duration{"soon": time.Second, "later": 3 * time.Second}, Members: []Member{{VM: "m", Uptime: time.Second}}}
+	aged := b.Aged(2 * time.Second)
+	assert.Equal(t, Beacon{Uptime: time.Minute + 2*time.Second, ListAge: 3 * time.Second, CheckAge: -time.Millisecond, ReplicaLimits: map[string]quota.LimitReport{"r": {Limit: 2, Age: 3 * time.Second}},
+		ColdReplicas: map[string]time.Duration{"later": time.Second}, Members: []Member{{VM: "m", Uptime: 3 * time.Second}}}, aged)
+	assert.Equal(t, 3*time.Second, b.ColdReplicas["later"], "the original is unchanged")
+}
