fleet, gateway: no VM carries the summaries of all other groups for its group

Cause: the relay of a group sent its whole group, five times a second, a summary that names every VM of the fleet. Store reads, beacons and requests waited behind it for seconds. Change: a group has one sender to each other group, by rendezvous hashing; the VMs of the other group receive by turns, and each passes on what it got.

--- a/fleet/layout.go
+++ b/fleet/layout.go
@@ -2,8 +2,8 @@
 //
 // If every VM sends its state to every other one, the messages grow with the square of their number, and most of them
 // cross the links between regions. So the VMs of an availability zone form groups. Within a group each VM sends its beacons to
-// all others. One VM of each group, the relay, exchanges summaries with the relays of the other groups, and sends the others
-// of its group one summary of all that is outside.
+// all others. One VM of a group sends summaries of it to each other group, to the VMs there by turns, and whoever receives one
+// passes it on to its group. Another VM may send them to another group, so that all carry about as much.
 //
 // The package performs no I/O and does not know the time.
 package fleet
@@ -13,6 +13,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 )
 
 // maxGroupSize is the number of VMs of an availability zone from which on they form more than one group.
@@ -20,14 +21,14 @@
 
 // Layout assigns VMs to groups. It is immutable.
 type Layout struct {
-	zoneOf map[string]string
-	// parts holds the number of groups of each zone.
-	parts map[string]uint64
+	// groupOf holds the group of each VM.
+	groupOf map[string]string
 }
 
 // NewLayout returns the layout of VMs, given the availability zone of each.
 func NewLayout(zoneOf map[string]string) Layout {
-	l := Layout{zoneOf: zoneOf, parts: map[string]uint64{}}
+	l := Layout{groupOf: make(map[string]string, len(zoneOf))}
+	partsOf := map[string]uint64{}
 	sizes := map[string]int{}
 	for _, zone := range zoneOf {
 		sizes[zone]++
@@ -38,25 +39,21 @@
 		for uint64(size) > parts*maxGroupSize {
 			parts *= 2
 		}
-		l.parts[zone] = parts
+		partsOf[zone] = parts
+	}
+	for vm, zone := range zoneOf {
+		l.groupOf[vm] = fmt.Sprintf("%s/%d", zone, xxhash.Sum64String(vm)%partsOf[zone])
 	}
 	return l
 }
 
 // GroupOf returns the group of a VM, or "" if the VM is not known.
-func (l Layout) GroupOf(vm string) string {
-	zone, known := l.zoneOf[vm]
-	if !known {
-		return ""
-	}
-	return fmt.Sprintf("%s/%d", zone, xxhash.Sum64String(vm)%l.parts[zone])
-}
+func (l Layout) GroupOf(vm string) string { return l.groupOf[vm] }
 
 // Groups returns the VMs of each group, sorted by name.
 func (l Layout) Groups() map[string][]string {
 	groups := map[string][]string{}
-	for vm := range l.zoneOf {
-		group := l.GroupOf(vm)
+	for vm, group := range l.groupOf {
 		groups[group] = append(groups[group], vm)
 	}
 	for _, vms := range groups {
@@ -64,3 +61,12 @@
 	}
 	return groups
 }
+
+// SenderTo returns which of several VMs of a group sends its summaries to another group. The groups are divided evenly, and if a
+// VM goes, only those that it sent to are given to others.
+func SenderTo(group string, vms []string) string {
+	return rendezvous.New(vms, xxhash.Sum64String).Lookup(group)
+}
+
+// FirstTurn returns the turn of the VMs of the group to with which summaries of the group from begin.
+func FirstTurn(from, to string) uint64 { return xxhash.Sum64String(from + " " + to) }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -22,6 +22,8 @@
 	peerExpiry = 60 * time.Second
 	// peerCheckInterval is how often the peers are checked for silence.
 	peerCheckInterval = 50 * time.Millisecond
+	// peerCheckIntervalPerPeer is added for each peer: the check looks at all of them.
+	peerCheckIntervalPerPeer = time.Millisecond
 	// startSharePeriod is the time from the start of the process for which VMs that are heard for the first time add their
 	// shares of the bursts. Later, buckets have been refilled.
 	startSharePeriod = 5 * time.Second
@@ -114,7 +116,7 @@
 // updatePeersIfDue updates what follows from the state of all peers. Each beacon is an event, so doing this for each
 // event would take a time that grows with the square of the number of VMs.
 func (c *Controller) updatePeersIfDue(now time.Time) {
-	if !c.peersChanged && now.Sub(c.peersUpdatedAt) < peerCheckInterval {
+	if !c.peersChanged && now.Sub(c.peersUpdatedAt) < max(peerCheckInterval, time.Duration(len(c.peers))*peerCheckIntervalPerPeer) {
 		return
 	}
 	c.peersChanged, c.peersUpdatedAt = false, now
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -22,14 +22,12 @@
 // Scope says of whom a Beacon tells.
 type Scope string
 
-// Scopes of a Beacon. In a fleet that is divided into groups, the relay of each group sends summaries.
+// Scopes of a Beacon.
 const (
 	// ScopeVM is the scope of a beacon with the state of its sender.
 	ScopeVM Scope = ""
-	// ScopeGroup is the scope of a summary of the sender's group, for the relays of other groups.
+	// ScopeGroup is the scope of a summary of the sender's group, for the VMs of other groups.
 	ScopeGroup Scope = "Group"
-	// ScopeOutside is the scope of a summary of all other groups, for the VMs of the sender's group.
-	ScopeOutside Scope = "Outside"
 )
 
 // Member is a VM of which a summary tells.
@@ -52,6 +50,8 @@
 	// AvailabilityZone is that of the VM.
 	AvailabilityZone string
 	Scope            Scope
+	// Forwarded is whether a summary was passed on by a VM of the receiver's group, which has sent it to the whole group.
+	Forwarded bool
 	// Members holds the VMs of which a summary tells, those that are heard. It is nil in the beacon of one VM.
 	Members []Member
 	// Sequence increases with each beacon of one process run.
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -22,6 +22,7 @@
 	Version         uint64
 	Zone            string                    `json:",omitempty"`
 	Scope           Scope                     `json:",omitempty"`
+	Forwarded       bool                      `json:",omitempty"`
 	Members         []memberMessage           `json:",omitempty"`
 	Reports         map[string]int            `json:",omitempty"`
 	VMCount         int                       `json:",omitempty"`
@@ -138,7 +139,7 @@
 func newBeaconMessage(b Beacon) beaconMessage {
 	checked := b.CheckAge.Milliseconds()
 	return beaconMessage{
-		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Zone: b.AvailabilityZone, Scope: b.Scope, Members: convertAll(b.Members, newMemberMessage), Reports: b.UnreachableReports, VMCount: b.VMCount, Leaving: b.Leaving,
+		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Zone: b.AvailabilityZone, Scope: b.Scope, Forwarded: b.Forwarded, Members: convertAll(b.Members, newMemberMessage), Reports: b.UnreachableReports, VMCount: b.VMCount, Leaving: b.Leaving,
 		Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas,
 		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, ListEra: b.ListEra, CheckedMillis: &checked,
 		Loads:          mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
@@ -157,7 +158,7 @@
 		checked = *m.CheckedMillis
 	}
 	return Beacon{
-		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving,
+		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving,
 		QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable,
 		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra, CheckAge: millis(checked),
 		ReplicaLoads:   mapValues(m.Loads, func(load [2]int) placement.Load { return placement.Load{Requests: load[0], Tokens: load[1]} }),
