gateway, placement: a replica that says in its answers that it is leaving gets no new work

Change: every answer of the replica counts, prefills too, but not those that belong to other requests; from then on it gets no work from that VM, until another process is listed under its ID (born), whose start is announced like a change of the list. An ID that was marked as replaced (421) is usable again in the same way. Open in 33: telling the peers, Retry-After with 503.

--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -42,6 +42,8 @@
 	Load string
 	// ColdFor holds how much longer an upstream is cold, in milliseconds.
 	ColdFor string
+	// Leaving is "1" in all answers of an upstream that is leaving.
+	Leaving string
 	// Stripped lists further headers that are removed from callers' requests before they are forwarded.
 	Stripped []string
 }
@@ -162,6 +164,18 @@
 	}
 }
 
+// parseLeaving returns whether an answer says that its upstream is leaving, or a value that says neither.
+func parseLeaving(values []string) (leaving bool, invalid string) {
+	switch {
+	case len(values) == 0:
+		return false, ""
+	case len(values) == 1 && values[0] == "1":
+		return true, ""
+	}
+	joined := strings.Join(values, ",")
+	return false, joined[:min(len(joined), maxLoggedLimitBytes)]
+}
+
 // readResponseInfo parses the status and headers of an upstream's response.
 func (n Headers) readResponseInfo(status int, h http.Header) ResponseInfo {
 	info := ResponseInfo{Attempt: h.Get(n.Attempt)}
@@ -169,6 +183,7 @@
 	info.NotRun = h.Get(n.NotRun) != "" || info.Misdirected
 	info.RequestLimit, info.InvalidLimit = parseRequestLimit(h.Values(n.RequestLimit))
 	info.Load, info.InvalidLoad = parseLoad(h.Values(n.Load))
+	info.Leaving, info.InvalidLeaving = parseLeaving(h.Values(n.Leaving))
 	if millis, err := strconv.ParseFloat(h.Get(n.ColdFor), 64); err == nil && millis > 0 {
 		info.ColdFor = ColdPeriod(millis)
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -59,6 +59,9 @@
 	InvalidLoad string
 	// ColdFor is how much longer the upstream is cold, or 0 if it does not say so.
 	ColdFor time.Duration
+	// Leaving is whether the upstream says that it is leaving. InvalidLeaving is a value that could not be used, or empty.
+	Leaving        bool
+	InvalidLeaving string
 }
 
 // Protocol translates between HTTP messages and the gateway's types. Each platform's adapter provides one.
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -109,6 +109,9 @@
 		if c.isOutdated(update, replica.ID) {
 			continue
 		}
+		if c.renewIfRestarted(replica.ID, update.versions[replica.ID]) {
+			c.recordListChange(update.offsets[replica.ID])
+		}
 		c.replicas.versions.record(replica.ID, update.versions[replica.ID])
 		delete(c.replicas.doubtful, replica.ID)
 		c.recordCold(now, replica, update.coldFor[replica.ID], "list")
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -180,6 +180,7 @@
 	if err == nil && !info.Misdirected {
 		s.control.observeLimit(to, info, sentAt)
 		s.control.observeCold(to, info)
+		s.control.observeLeaving(to, info)
 	}
 	switch {
 	case err != nil:
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -88,8 +88,10 @@
 	// unreachableFor holds the peers that report the replica as unreachable.
 	unreachableFor map[string]bool
 	// replaced reports that another replica answers at the address. It stays set until this replica is listed with
-	// another address; until then no other replica gets its ID.
+	// another address or is renewed.
 	replaced bool
+	// saidLeaving is whether the replica has said in an answer that it is leaving. It stays set in the same way.
+	saidLeaving bool
 	// evacuated is whether the availability zone of the replica is evacuated.
 	evacuated bool
 	// fullUntil is the time until which an engine that reported it is full receives no requests.
@@ -115,7 +117,7 @@
 }
 
 // eligible reports whether the replica may receive new work at all.
-func (r *replica) eligible() bool { return !r.Leaving && !r.replaced && !r.evacuated }
+func (r *replica) eligible() bool { return !r.Leaving && !r.saidLeaving && !r.replaced && !r.evacuated }
 
 func (r *replica) recordSuccess() { r.failures = 0 }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -217,6 +217,24 @@
 	}
 }
 
+// MarkLeaving records that a replica has said in an answer that it is leaving, and reports whether that was not known.
+func (s *Scheduler) MarkLeaving(id string) bool {
+	r := s.replicas[id]
+	if r == nil || r.saidLeaving {
+		return false
+	}
+	r.saidLeaving = true
+	return true
+}
+
+// Renew records that another process has started under the ID of a replica, so that what the one before said or did no longer
+// counts.
+func (s *Scheduler) Renew(id string) {
+	if r := s.replicas[id]; r != nil {
+		r.saidLeaving, r.replaced = false, false
+	}
+}
+
 // ReplacedIDs returns the sorted IDs of listed replicas whose addresses are now used by other replicas.
 func (s *Scheduler) ReplacedIDs() []string {
 	return s.idsWhere(func(r *replica) bool { return r.replaced })
--- a/standin/configuration.go
+++ b/standin/configuration.go
@@ -18,6 +18,7 @@
 	headerSource    = "Kv-Source"
 
 	headerRequestLimit = "Server-Limit"
+	headerLeaving      = "Server-Leaving"
 )
 
 // Headers of the router's own protocol, for installations without the users' platform.
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -47,6 +47,8 @@
 	RequestLimit string
 	// Load is what all answers say of the load, or empty.
 	Load string
+	// Leaving is what all answers say of whether the replica is leaving, or empty.
+	Leaving string
 	// CutAnswer ends an answer of a plain service in its middle.
 	CutAnswer bool
 	// Unframed answers have neither a length nor chunks, and end with their connection.
@@ -179,6 +181,9 @@
 	if faults.Load != "" {
 		w.Header().Set("Instance-Load", faults.Load)
 	}
+	if faults.Leaving != "" {
+		w.Header().Set(headerLeaving, faults.Leaving)
+	}
 	if faults.EndlessHead || faults.EndlessEvent {
 		p.writeEndlessly(w, r.Header.Get(p.protocol.attempt), faults)
 		return
