gateway: a VM that has heard of newer declarations doesn't deny what they may allow

Cause: 404 and 401 are final for callers, and were given by declarations that the VM knew to be outdated. Change: 503 with Retry-After of a second, truly not run, as long as a peer has told of a newer version within 1.5 s.

--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/cassiabridge/cassiabridge/routing"
 )
 
 const (
@@ -84,7 +87,11 @@
 // did not find it. Triggers are rate limited, so that beacons do not cause a storm of reads while the store does not
 // respond.
 func (c *Controller) refreshIfNewer(now time.Time, peerName string, version uint64) {
-	if version <= c.version() || now.Sub(c.refreshedAt) < minRefreshInterval {
+	if version <= c.version() {
+		return
+	}
+	c.newerVersion.Store(&heardVersion{version, now})
+	if now.Sub(c.refreshedAt) < minRefreshInterval {
 		return
 	}
 	foundNothing := c.refreshedFor == version
@@ -97,3 +104,24 @@
 		c.readCopy()
 	}
 }
+
+// heardVersion is a version of the declarations of which a peer has told.
+type heardVersion struct {
+	version uint64
+	at      time.Time
+}
+
+// outdated reports whether a peer has lately told of newer declarations than those of a table.
+func (c *Controller) outdated(table *routing.Table) bool {
+	heard := c.newerVersion.Load()
+	return heard != nil && heard.version > table.Version && c.now().Sub(heard.at) <= silenceTimeout
+}
+
+// deniedError returns the error for a request that the declarations in force don't allow. If newer ones may allow it, it is
+// only refused for now.
+func (s *Server) deniedError(r *request, denied *Error) *Error {
+	if !s.control.outdated(r.table) {
+		return denied
+	}
+	return (&Error{Op: denied.Op, Kind: ErrNoDeclarations, Err: fmt.Errorf("this VM waits for newer declarations: %w", denied.Err)}).withRetryAfter(noDeclarationsRetryAfter)
+}
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -55,6 +55,8 @@
 	checkDeclarations func()
 	// readCopy triggers a read of the backup copy.
 	readCopy func()
+	// newerVersion is the last version newer than that in force of which a peer has told, or nil.
+	newerVersion atomic.Pointer[heardVersion]
 	// caughtUp is whether this VM may serve with its declarations.
 	caughtUp atomic.Bool
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -208,7 +208,7 @@
 	path, _, _ := strings.Cut(r.target, "?")
 	route, found := r.table.Match(r.http.Host, path)
 	if !found {
-		return errorf("route", ErrNoRoute, "no route for host %q and path %q", r.http.Host, path)
+		return s.deniedError(r, errorf("route", ErrNoRoute, "no route for host %q and path %q", r.http.Host, path))
 	}
 	r.route = route
 	r.state = attempt.New(attempt.Policy{Repeat: route.Repeat, MaxRuns: route.MaxAttempts, MaxTries: maxTries})
@@ -223,7 +223,7 @@
 	if account, known := r.table.AccountByKey(r.info.Key); known {
 		r.account = account
 	} else if r.table.RequiresKeys() && !route.Public {
-		return errorf("identify", ErrUnknownKey, "no account holds the key")
+		return s.deniedError(r, errorf("identify", ErrUnknownKey, "no account holds the key"))
 	}
 	r.regions = route.RegionsFor(r.account)
 	pool, exists := r.table.Pool(route.PickPool(s.random()))
