--- a/standin/replica.go
+++ b/standin/replica.go
@@ -62,7 +62,9 @@
 	// EndOnPart is the ID of a part of the prompt. When a decode engine begins to answer a request that has it, End is
 	// called, which ends the replica's process.
 	EndOnPart string
-	End       func()
+	// EndOnTarget is the path of a call that ends a plain service when it begins to run it, after half of its work.
+	EndOnTarget string
+	End         func()
 }
 
 // endsReplica reports whether the answer to a request ends the replica.
@@ -285,6 +287,12 @@
 	if run.Prefill {
 		p.reading <- struct{}{}
 	}
+	if faults.EndOnTarget != "" && r.URL.Path == faults.EndOnTarget {
+		time.Sleep(p.cfg.WorkDuration / 2)
+		go faults.End()
+		<-r.Context().Done()
+		return false
+	}
 	worked := sleepWhileConnected(r, p.cfg.WorkDuration)
 	if run.Prefill {
 		<-p.reading
