quarantine, gateway: one request that ends replica after replica is found, also if it shares no part

Cause: the quarantine went by shared parts of prompts. Class: a protection that covers one kind of traffic only. Change: a whole request is a part too, by a hash of account, method, host, path with query, and body. It runs alone after two ends and not at all after three but for two trials; one that was ever answered needs twice as many moments, since those that are repeated all the time run beside many ends. Any answer clears it. Reports and memory keep first what has ended most. Plain calls are admitted and recorded like generations; nothing of a body is kept or logged. Not done: the native interface has no quarantine.

--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -136,6 +136,7 @@
 // expireHints drops evidence and limits that are too old.
 func (c *Controller) expireHints(now time.Time) {
 	c.quarantine.Expire(now)
+	c.suspects.Store(c.quarantine.Any())
 	c.metrics.QuarantinedParts.Set(float64(c.quarantine.QuarantinedCount()))
 	c.limits.Expire(now)
 	c.limitsNamed.Store(c.limits.Any())
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -44,6 +44,8 @@
 	events  chan event
 	table   atomic.Pointer[routing.Table]
 	leaving atomic.Bool
+	// suspects is whether there is evidence that anything ends replicas.
+	suspects atomic.Bool
 	// limitsNamed is whether any VM has heard of a request limit of a replica lately.
 	limitsNamed atomic.Bool
 	// sendBeacon sends a beacon to peers, refreshDeclarations triggers a read of the declarations, and readList triggers
--- a/gateway/ended_replicas.go
+++ b/gateway/ended_replicas.go
@@ -24,7 +24,7 @@
 	return errors.As(reqErr.Err, &exchangeErr) && exchangeErr.Kind == exchange.ErrBroken
 }
 
-// answerProgress tells whether an answer has lasted long enough to clear the parts of its prompt.
+// answerProgress tells whether an answer has lasted long enough to clear the parts of its request.
 type answerProgress struct {
 	startedAt time.Time
 	lasted    bool
@@ -33,9 +33,6 @@
 // watchAnswer starts to follow the answer of an engine.
 func (s *Server) watchAnswer(r *request) {
 	r.answer = answerProgress{startedAt: s.control.now()}
-	if len(r.info.SharedParts) == 0 {
-		return
-	}
 	r.w.onWrite = func() {
 		if s.control.now().Sub(r.answer.startedAt) >= quarantine.SurvivalPeriod {
 			s.recordLasting(r)
@@ -45,9 +42,9 @@
 
 // recordLasting records that the answer has lasted or is complete.
 func (s *Server) recordLasting(r *request) {
-	if !r.answer.lasted && len(r.info.SharedParts) > 0 {
+	if !r.answer.lasted {
 		r.answer.lasted = true
-		s.control.recordSurvival(r.info.SharedParts)
+		s.control.recordSurvival(r.parts())
 	}
 }
 
@@ -58,13 +55,10 @@
 	r.runBroke = true
 }
 
-// recordBroken records that a run at a replica broke off. If the replica has ended, this counts against the shared parts
-// of the prompt, unless the answer had lasted. A broken connection alone does not: links and connections fail too.
+// recordBroken records that a run at a replica broke off. If the replica has ended, this counts against the parts of the request,
+// unless the answer had lasted. A broken connection alone does not: links and connections fail too.
 func (s *Server) recordBroken(r *request, replica placement.Replica, lasted bool) {
-	parts := r.info.SharedParts
-	if len(parts) == 0 {
-		return
-	}
+	parts := r.parts()
 	refused, _, _ := s.endChecks.Do(replica.ID, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 		defer cancel()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,8 +11,16 @@
 	"github.com/cassiabridge/cassiabridge/quarantine"
 )
 
-// decideParts decides whether a request with these shared parts of its prompt may run. After a Trial, endTrial must be
-// called.
+// parts returns what evidence can be held against: the shared parts of the prompt, and the whole request.
+func (r *request) parts() []string {
+	if r.suspectIDs == nil {
+		id := quarantine.RequestID(r.accountName(), r.http.Method, r.http.Host, r.target, r.body)
+		r.suspectIDs = append(slices.Clone(r.info.SharedParts), id)
+	}
+	return r.suspectIDs
+}
+
+// decideParts decides whether a request with these parts may run. After a Trial, endTrial must be called.
 func (c *Controller) decideParts(parts []string) quarantine.Decision {
 	return ask(c, func() quarantine.Decision {
 		decision := c.quarantine.Decide(c.now(), parts)
@@ -30,7 +39,7 @@
 	})
 }
 
-// recordEnd records that a replica ended just after it began the answer to a request with these shared parts. The end of a
+// recordEnd records that a replica ended while it ran or began to answer a request with these parts. The end of a
 // replica that was leaving is planned and does not count.
 func (c *Controller) recordEnd(parts []string, replica placement.Replica) {
 	c.post(func() {
@@ -38,13 +47,14 @@
 			return
 		}
 		quarantined := c.quarantine.RecordEnd(c.now(), parts, replica.ID)
+		c.suspects.Store(true)
 		c.beacon.dirty = true
 		c.log.Info("parts-suspected", zap.String("Replica", replica.ID), zap.Strings("Parts", parts))
 		c.logQuarantined(quarantined, c.self.VM)
 	})
 }
 
-// recordSurvival records that an answer to a request with these shared parts lasted.
+// recordSurvival records that an answer to a request with these parts lasted.
 func (c *Controller) recordSurvival(parts []string) {
 	c.post(func() {
 		if cleared := c.quarantine.RecordSurvival(c.now(), parts); len(cleared) > 0 {
@@ -58,11 +68,15 @@
 func (c *Controller) mergeEvidence(now time.Time, b peer.Beacon) {
 	c.quarantine.SetPeerTrials(b.VM, b.TrialParts)
 	c.logQuarantined(c.quarantine.Merge(now, b.Suspects), b.VM)
+	c.suspects.Store(c.quarantine.Any())
 }
 
 // restoreQuarantine adds the evidence of the backup copy.
 func (c *Controller) restoreQuarantine(quarantined map[string]quarantine.Evidence) {
-	c.post(func() { c.logQuarantined(c.quarantine.Merge(c.now(), quarantined), "copy") })
+	c.post(func() {
+		c.logQuarantined(c.quarantine.Merge(c.now(), quarantined), "copy")
+		c.suspects.Store(c.quarantine.Any())
+	})
 }
 
 func (c *Controller) logQuarantined(parts []string, source string) {
@@ -71,14 +85,14 @@
 	}
 }
 
-// admitParts decides whether a request may run, by the shared parts of its prompt. The returned function must be called
-// when the request has ended. A request of which a run broke off is not tried again with a suspected part.
+// admitParts decides whether a request may run, by its parts. The returned function must be called when the request has ended. A
+// request of which a run broke off is not tried again with a suspected part.
 func (s *Server) admitParts(r *request) (release func(), reqErr *Error) {
 	release = func() {}
-	if len(r.info.SharedParts) == 0 {
+	if !s.control.suspects.Load() {
 		return release, nil
 	}
-	decision := s.control.decideParts(r.info.SharedParts)
+	decision := s.control.decideParts(r.parts())
 	if decision.Verdict == quarantine.Admit {
 		return release, nil
 	}
@@ -91,6 +105,6 @@
 		}
 		release()
 	}
-	reqErr = errorf("admit prompt", ErrQuarantined, "%d replicas have ended under part %s of the prompt", decision.Ends, decision.Part)
-	return func() {}, reqErr.withRetryAfter(max(decision.RetryAfter, quarantine.SurvivalPeriod))
+	reqErr = errorf("admit", ErrQuarantined, "%d replicas have ended under part %s of the request", decision.Ends, decision.Part)
+	return func() {}, reqErr.withRetryAfter(decision.RetryAfter)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -84,6 +84,8 @@
 	answer answerProgress
 	// runBroke is whether a run of the request broke off.
 	runBroke bool
+	// suspectIDs holds what parts returns, once it has been called.
+	suspectIDs []string
 	// logFields are added to the log line that is written when the request ends.
 	logFields []zap.Field
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -32,29 +32,43 @@
 // retry policy and the retry budget allow.
 func (s *Server) callService(ctx context.Context, r *request) *Error {
 	for {
-		decision := s.control.pickService(r.serviceCall(s.control.now()))
-		switch {
-		case !decision.Found:
-			return errorf("pick upstream", ErrNoUpstream, "no upstream of pool %q is left after %d offers", r.pool.Name, r.state.Tries()).withRetryAfter(noUpstreamRetryAfter)
-		case decision.Refused:
-			return s.refuseBusy(r, decision)
+		endTrial, reqErr := s.admitParts(r)
+		if reqErr != nil {
+			return reqErr
 		}
-		replica := decision.Replica
-		r.state = r.state.WithTry()
-		sentAt := s.control.now()
-		result := s.exchange(ctx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), LastEventID: r.info.LastEventID})
-		if !s.shouldRetry(ctx, r, r.state.Next(result.outcome), 1) {
-			return s.endService(ctx, r, replica, result, s.control.now().Sub(sentAt))
-		}
-		s.control.releaseService(replica.ID, 0, result.load, false)
-		if result.resp != nil {
-			s.log.Info("response-discarded", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.Int("Status", result.resp.Status))
-			result.resp.Close()
-			r.avoid = append(r.avoid, replica.ID)
+		reqErr, retry := s.tryService(ctx, r)
+		endTrial()
+		if !retry {
+			return reqErr
 		}
 	}
 }
 
+// tryService sends a request to one upstream of a plain service. It reports whether the request is to be tried again.
+func (s *Server) tryService(ctx context.Context, r *request) (reqErr *Error, retry bool) {
+	decision := s.control.pickService(r.serviceCall(s.control.now()))
+	switch {
+	case !decision.Found:
+		return errorf("pick upstream", ErrNoUpstream, "no upstream of pool %q is left after %d offers", r.pool.Name, r.state.Tries()).withRetryAfter(noUpstreamRetryAfter), false
+	case decision.Refused:
+		return s.refuseBusy(r, decision), false
+	}
+	replica := decision.Replica
+	r.state = r.state.WithTry()
+	sentAt := s.control.now()
+	result := s.exchange(ctx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), LastEventID: r.info.LastEventID})
+	if !s.shouldRetry(ctx, r, r.state.Next(result.outcome), 1) {
+		return s.endService(ctx, r, replica, result, s.control.now().Sub(sentAt)), false
+	}
+	s.control.releaseService(replica.ID, 0, result.load, false)
+	if result.resp != nil {
+		s.log.Info("response-discarded", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.Int("Status", result.resp.Status))
+		result.resp.Close()
+		r.avoid = append(r.avoid, replica.ID)
+	}
+	return nil, true
+}
+
 // serviceCall returns what placement needs to know of a request for a plain service.
 func (r *request) serviceCall(now time.Time) placement.ServiceCall {
 	return placement.ServiceCall{Pool: r.pool.Name, Avoid: r.avoid, Regions: r.regions, Priority: r.route.PriorityFor(r.account),
@@ -100,7 +114,15 @@
 		return s.forwardError(ctx, r, result.err)
 	}
 	s.control.releaseService(replica.ID, took, result.load, result.resp.Status < http.StatusBadRequest)
-	return s.relayResponse(r, replica, result.resp)
+	s.watchAnswer(r)
+	reqErr := s.relayResponse(r, replica, result.resp)
+	switch {
+	case reqErr == nil:
+		s.recordLasting(r)
+	case isBroken(reqErr) && ctx.Err() == nil:
+		go s.recordBroken(r, replica, r.answer.lasted)
+	}
+	return reqErr
 }
 
 // takeRetryBudget charges cost, a number of requests to upstreams, to the pool's retry budget. It returns false if the
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -47,7 +47,8 @@
 	}
 	if len(parts) > maxSharedParts {
 		slices.SortFunc(parts, func(a, b string) int {
-			return cmp.Or(t.suspects[b].changedAt.Compare(t.suspects[a].changedAt), cmp.Compare(a, b))
+			x, y := t.suspects[a], t.suspects[b]
+			return cmp.Or(y.urgency(now)-x.urgency(now), y.changedAt.Compare(x.changedAt), cmp.Compare(a, b))
 		})
 		parts = parts[:maxSharedParts]
 	}
@@ -58,6 +59,19 @@
 	return report
 }
 
+// urgency orders the parts in a report that is too short for all: first what has just been quarantined, then what others must
+// know to quarantine it, then what is only repeated. A replica that ends leaves evidence against all that ran there.
+func (s *suspect) urgency(now time.Time) int {
+	recent := now.Sub(s.changedAt) < sharePeriod
+	switch {
+	case s.quarantined() && recent:
+		return maxEnds + 1
+	case recent:
+		return len(s.ends)
+	}
+	return 0
+}
+
 // Quarantined returns the evidence on all quarantined parts.
 func (t *Tracker) Quarantined() map[string]Evidence {
 	quarantined := map[string]Evidence{}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,6 +1,7 @@
-// Package quarantine finds the parts of prompts that end the replicas that answer them, and decides which requests with
-// such a part may run.
+// Package quarantine finds the parts of prompts, and the whole requests, that end the replicas that answer them, and decides
+// which requests may run.
 //
+// A part is something that several requests share, or a whole request: its path, its account and its body, as a hash.
 // Each end of a replica counts against all shared parts of the requests whose answers had just begun there; an answer
 // that lasts clears all of its parts. So a part that is in many requests is cleared soon after each end, whereas one that
 // ends its replicas is never cleared. A suspected part runs one request at a time on all VMs, a quarantined one none but
@@ -9,7 +10,12 @@
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -39,11 +45,39 @@
 	quarantineExpiry = 6 * time.Hour
 	// clearedExpiry is how long cleared parts are kept, so that older evidence of other VMs does not count again.
 	clearedExpiry = 2 * time.Minute
+	// suspicionEnds and quarantineEnds are the numbers of replicas under which a whole request that was never answered is
+	// suspected and quarantined. One request may be sent to two replicas; that three end while they run the same one by chance
+	// is rare, and no other request waits for it.
+	suspicionEnds  = 2
+	quarantineEnds = 3
+	// maxRequestTrials is the number of trials of a quarantined request: it has ended three replicas, which a part need not have.
+	maxRequestTrials = 2
+	// requestRetryAfter is the time after which a request that is on trial elsewhere can be sent again.
+	requestRetryAfter = 500 * time.Millisecond
 	// maxSuspects and maxSoundParts bound the memory.
-	maxSuspects   = 512
-	maxSoundParts = 4096
+	maxSuspects = 512
+	// requestHashBytes is the length of the hash in the ID of a request. No caller can find another request with the same one.
+	requestHashBytes = 16
+	maxSoundParts    = 4096
 )
 
+// requestPrefix begins the IDs of whole requests.
+const requestPrefix = "request/"
+
+// RequestID returns the ID of a whole request. The parts of the request are hashed, so that nothing of a body is kept or logged.
+func RequestID(account, method, host, target string, body []byte) string {
+	h := sha256.New()
+	for _, text := range []string{account, method, host, target} {
+		_ = binary.Write(h, binary.BigEndian, uint64(len(text)))
+		_, _ = io.WriteString(h, text)
+	}
+	_, _ = h.Write(body)
+	return requestPrefix + hex.EncodeToString(h.Sum(nil)[:requestHashBytes])
+}
+
+// isRequest reports whether an ID is that of a whole request.
+func isRequest(id string) bool { return strings.HasPrefix(id, requestPrefix) }
+
 // Verdict is the decision on a request.
 type Verdict int
 
@@ -91,6 +125,8 @@
 
 // suspect is a part against which there is or was evidence.
 type suspect struct {
+	// request is whether this is a whole request.
+	request    bool
 	generation uint64
 	// ends holds the IDs of the replicas that ended under the part.
 	ends []string
@@ -122,14 +158,20 @@
 	return &Tracker{suspects: map[string]*suspect{}, sound: map[string]bool{}, peerTrials: map[string][]string{}}
 }
 
-func (s *suspect) threshold(moments int) int {
-	if s.sound {
-		return soundFactor * moments
+// reaches reports whether there is as much evidence as a number of moments, or for a whole request that was never answered, of
+// ends. A request that was answered may have run beside one that ends its replicas several times, as those have that are
+// repeated all the time.
+func (s *suspect) reaches(moments, ends int) bool {
+	switch {
+	case s.sound:
+		return s.moments >= soundFactor*moments
+	case s.request:
+		return len(s.ends) >= ends
 	}
-	return moments
+	return s.moments >= moments
 }
 
-func (s *suspect) suspected() bool   { return s.moments >= s.threshold(suspicionMoments) }
+func (s *suspect) suspected() bool   { return s.reaches(suspicionMoments, suspicionEnds) }
 func (s *suspect) quarantined() bool { return !s.quarantinedAt.IsZero() }
 
 // addEnd adds the end of a replica.
@@ -147,7 +189,7 @@
 
 // quarantineIfDue quarantines the part if there is enough evidence, and reports whether it was not before.
 func (s *suspect) quarantineIfDue(now time.Time) bool {
-	if s.quarantined() || s.moments < s.threshold(quarantineMoments) {
+	if s.quarantined() || !s.reaches(quarantineMoments, quarantineEnds) {
 		return false
 	}
 	s.quarantinedAt = now
@@ -156,7 +198,7 @@
 
 // clear removes the evidence and starts a generation.
 func (s *suspect) clear(now time.Time, generation uint64) {
-	*s = suspect{generation: generation, sound: s.sound, ownTrials: s.ownTrials, changedAt: now, askedAt: s.askedAt}
+	*s = suspect{request: s.request, generation: generation, sound: s.sound, ownTrials: s.ownTrials, changedAt: now, askedAt: s.askedAt}
 }
 
 // trialDueAt returns the time from which a quarantined part may have its next trial.
@@ -165,6 +207,9 @@
 	if s.sound {
 		delay = firstSoundTrialDelay
 	}
+	if s.request && s.trials >= maxRequestTrials {
+		return s.askedAt.Add(quarantineExpiry)
+	}
 	for range s.trials {
 		delay, from = min(delay*trialDelayFactor, maxTrialDelay), s.triedAt
 	}
@@ -175,14 +220,14 @@
 func (t *Tracker) suspect(now time.Time, part string) *suspect {
 	s := t.suspects[part]
 	if s == nil {
-		s = &suspect{changedAt: now, askedAt: now}
+		s = &suspect{request: isRequest(part), changedAt: now, askedAt: now}
 		t.suspects[part] = s
 	}
 	return s
 }
 
-// removeExcess removes the parts that changed first, those that are not quarantined before the others, until at most
-// maxSuspects are left.
+// removeExcess removes the parts with the least evidence, and of these those that changed first, until at most maxSuspects are
+// left. Requests that ran once beside the end of a replica can't push out one that has ended several.
 func (t *Tracker) removeExcess() {
 	for len(t.suspects) > maxSuspects {
 		oldest := ""
@@ -196,8 +241,11 @@
 }
 
 func (s *suspect) expendableBefore(other *suspect) bool {
-	if s.quarantined() != other.quarantined() {
+	switch {
+	case s.quarantined() != other.quarantined():
 		return !s.quarantined()
+	case len(s.ends) != len(other.ends):
+		return len(s.ends) < len(other.ends)
 	}
 	return s.changedAt.Before(other.changedAt)
 }
@@ -258,7 +306,7 @@
 			decision.Verdict, decision.RetryAfter = Refuse, max(s.trialDueAt().Sub(now), SurvivalPeriod)
 			return decision
 		case t.onTrial(part, s):
-			decision.Verdict, decision.RetryAfter = Busy, SurvivalPeriod
+			decision.Verdict, decision.RetryAfter = Busy, s.busyRetryAfter()
 			return decision
 		}
 		decision.Verdict, decision.Claimed = Trial, append(trial.Claimed, part)
@@ -270,11 +318,23 @@
 	return trial
 }
 
+// busyRetryAfter returns the time after which a request with a part that is on trial can be sent again.
+func (s *suspect) busyRetryAfter() time.Duration {
+	if s.request {
+		return requestRetryAfter
+	}
+	return SurvivalPeriod
+}
+
+// Any reports whether there is evidence against any part.
+func (t *Tracker) Any() bool { return len(t.suspects) > 0 }
+
 // explainedByOthers reports whether every end under a part of a request was also one under another part that the request
-// does not have. Two parts that always came together cannot be told apart until a request has only one of them.
+// does not have. Two parts that always came together cannot be told apart until a request has only one of them. Whole requests
+// excuse nothing: many run at a replica when it ends, and each is tried alone soon.
 func (t *Tracker) explainedByOthers(s *suspect, parts []string) bool {
 	for part, other := range t.suspects {
-		if other == s || len(other.ends) < len(s.ends) || slices.Contains(parts, part) {
+		if other == s || other.request || len(other.ends) < len(s.ends) || slices.Contains(parts, part) {
 			continue
 		}
 		if !slices.ContainsFunc(s.ends, func(replica string) bool { return !slices.Contains(other.ends, replica) }) {
