gateway: what resumes a stream must begin with an event that has an ID

Failures, refusals, cut heads and answers of other attempts did not reach callers here; a 200 with text that is no event, or events without IDs, did: in the middle of the stream, which then ended as complete. It counts as a broken run now. Open: an empty 200 in answer to a resumption ends the stream as complete; it is what a replica sends if nothing is left.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -16,6 +16,9 @@
 // errEventTooLong means that an upstream sent more than maxEventBytes without ending an event.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// errNoResumption means that the answer to a request to resume a stream does not begin with an event that has an ID.
+var errNoResumption = errors.New("the answer does not resume the stream")
+
 // eventTerminators are the byte sequences that end a server-sent event: the end of the last line and an empty line. A line
 // ends with LF, CRLF or CR.
 var eventTerminators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r"), []byte("\r\r\n")}
@@ -77,17 +80,21 @@
 
 // copyEvents relays a stream in complete events, so that another upstream can resume it after any of them. lastID is
 // the ID of the last event that the caller already has. copyEvents returns the ID of the last event that it relayed, or
-// lastID if there was none.
+// lastID if there was none. If the caller has got events with IDs, the answer must go on with such an event: anything else would
+// stand in the middle of the stream.
 func (w *responseWriter) copyEvents(resp *exchange.Response, lastID string) (string, error) {
 	buffer := make([]byte, copyBufferBytes)
 	var pending []byte
-	started := false
+	started, resumes := false, w.bytes > 0 && lastID != ""
 	for {
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if end := completeEventsLen(pending); end > 0 {
-			started = true
 			complete := pending[:end]
+			if _, found := lastEventID(complete); resumes && !started && !found {
+				return lastID, errNoResumption
+			}
+			started = true
 			if writeErr := w.writeAndFlush(complete); writeErr != nil {
 				return lastID, writeErr
 			}
@@ -99,6 +106,8 @@
 		switch {
 		case err == io.EOF && resp.Framing == exchange.FramedByConn && (!started || holdsEvent(pending)):
 			return lastID, resp.TruncatedError()
+		case err == io.EOF && resumes && !started && len(pending) > 0:
+			return lastID, errNoResumption
 		case err == io.EOF && len(pending) > 0:
 			// The upstream's response is complete, so its unterminated last event is relayed too.
 			return lastID, w.writeAndFlush(pending)
--- a/integration/raw_replica_test.go
+++ b/integration/raw_replica_test.go
@@ -5,10 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 
 	"github.com/stretchr/testify/require"
 )
 
+// rawCut at the end of an answer closes the connection after what is before it.
+const rawCut = "\x00cut"
+
 // startRawReplica starts a replica that writes its answers as bytes, so that they can be faulty, and lists it with the given
 // service and stage. serveConn is called for each connection and returns the function that answers the requests on it, one after
 // the other.
@@ -44,7 +48,8 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(conn, answer(r)); err != nil {
+		data, cut := strings.CutSuffix(answer(r), rawCut)
+		if _, err := io.WriteString(conn, data); err != nil || cut {
 			return
 		}
 	}
