placement: a beacon looks only at replicas of which there is something to tell

Sets of the IDs that may have a load, be unreachable or replaced, or have told their load take their place.

--- a/placement/engine.go
+++ b/placement/engine.go
@@ -329,8 +329,8 @@
 func (s *Scheduler) startRequest(now time.Time, req *Request, p, d *replica) {
 	req.prefillID, req.decodeID, req.startedAt = p.ID, d.ID, now
 	req.prefillBacklog = p.totalLoad().Tokens + req.PromptTokens
-	p.ownLoad.add(1, req.PromptTokens)
-	d.ownLoad.add(1, req.reservedTokens())
+	s.addLoad(p, 1, req.PromptTokens)
+	s.addLoad(d, 1, req.reservedTokens())
 	s.spend(now, p.ID)
 	s.spend(now, d.ID)
 }
@@ -379,7 +379,7 @@
 		return Replica{}, false
 	}
 	req.decodeID = best.ID
-	best.ownLoad.add(1, req.reservedTokens())
+	s.addLoad(best, 1, req.reservedTokens())
 	s.spend(now, best.ID)
 	return best.Replica, true
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -22,6 +22,9 @@
 	replicas map[string]*replica
 	// byAddress holds the listed replicas by address. Addresses are given to other replicas in time.
 	byAddress map[string]map[string]*replica
+	// loaded, unreachable, replaced and told hold the IDs of the replicas that may have a load of this VM, be unreachable or
+	// replaced, or have told this VM their load. Beacons look at these only.
+	loaded, unreachable, replaced, told map[string]bool
 	// pools holds the replicas of each pool, sorted by ID. It is nil if replicas have changed since it was computed.
 	pools          map[string][]*replica
 	engineSpecs    map[string]routing.EngineSpec
@@ -52,7 +55,7 @@
 // NewScheduler returns a Scheduler without replicas for a VM in the given availability zone, which keeps to limits and cold.
 // random must return numbers in [0, 1).
 func NewScheduler(zone string, limits *quota.ReplicaLimits, cold *quota.ColdLimits, random func() float64) *Scheduler {
-	return &Scheduler{zone: zone, limits: limits, cold: cold, replicas: map[string]*replica{}, byAddress: map[string]map[string]*replica{}, engineSpecs: map[string]routing.EngineSpec{},
+	return &Scheduler{zone: zone, limits: limits, cold: cold, replicas: map[string]*replica{}, byAddress: map[string]map[string]*replica{}, loaded: map[string]bool{}, unreachable: map[string]bool{}, replaced: map[string]bool{}, told: map[string]bool{}, engineSpecs: map[string]routing.EngineSpec{},
 		waitEstimators: map[string]*waitEstimator{}, requests: map[uint64]*Request{}, random: random, ownCalls: map[CallClass]int{}, callRates: newCallRates(), peerLoads: map[string]map[string]Load{}, peerUnreachable: map[string][]string{}}
 }
 
@@ -111,6 +114,7 @@
 	for _, r := range s.byAddress[listed.Address] {
 		if r.ID != listed.ID {
 			r.replaced = true
+			s.replaced[r.ID] = true
 		}
 	}
 }
@@ -192,8 +196,8 @@
 // OwnLoads returns the nonzero loads that this VM has placed on engines, by replica ID.
 func (s *Scheduler) OwnLoads() map[string]Load {
 	loads := map[string]Load{}
-	for id, r := range s.replicas {
-		if r.Stage != StageNone && r.ownLoad != (Load{}) {
+	for _, id := range s.idsAmong(s.loaded, func(r *replica) bool { return r.ownLoad != (Load{}) }) {
+		if r := s.replicas[id]; r.Stage != StageNone {
 			loads[id] = r.ownLoad
 		}
 	}
@@ -203,10 +207,14 @@
 // RecordFailure records that a replica failed a request or was unreachable. It returns how long the replica is
 // skipped, or 0 if it stays in use.
 func (s *Scheduler) RecordFailure(now time.Time, id string, unreachable bool) time.Duration {
-	if r := s.replicas[id]; r != nil {
-		return r.recordFailure(now, unreachable)
+	r := s.replicas[id]
+	if r == nil {
+		return 0
+	}
+	if unreachable {
+		s.unreachable[id] = true
 	}
-	return 0
+	return r.recordFailure(now, unreachable)
 }
 
 // MarkReplaced records that a different replica answers at the address of the given one. The list entry of the old
@@ -214,6 +222,7 @@
 func (s *Scheduler) MarkReplaced(id string) {
 	if r := s.replicas[id]; r != nil {
 		r.replaced = true
+		s.replaced[id] = true
 	}
 }
 
@@ -237,19 +246,27 @@
 
 // ReplacedIDs returns the sorted IDs of listed replicas whose addresses are now used by other replicas.
 func (s *Scheduler) ReplacedIDs() []string {
-	return s.idsWhere(func(r *replica) bool { return r.replaced })
+	return s.idsAmong(s.replaced, func(r *replica) bool { return r.replaced })
 }
 
-// idsWhere returns the sorted IDs of the replicas for which a condition holds.
-func (s *Scheduler) idsWhere(holds func(*replica) bool) []string {
-	var ids []string
-	for id, r := range s.replicas {
-		if holds(r) {
-			ids = append(ids, id)
+// idsAmong returns the sorted IDs of those of some replicas for which a condition holds, and removes the others from ids.
+func (s *Scheduler) idsAmong(ids map[string]bool, holds func(*replica) bool) []string {
+	var found []string
+	for id := range ids {
+		if r := s.replicas[id]; r != nil && holds(r) {
+			found = append(found, id)
+		} else {
+			delete(ids, id)
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.Sort(found)
+	return found
+}
+
+// addLoad adds to the load that this VM has placed on a replica.
+func (s *Scheduler) addLoad(r *replica, requests, tokens int) {
+	r.ownLoad.add(requests, tokens)
+	s.loaded[r.ID] = true
 }
 
 // candidates returns the replicas of a pool and stage that may receive work, without those in avoid or outside the regions of
--- a/placement/service.go
+++ b/placement/service.go
@@ -86,7 +86,7 @@
 	if d.Refused {
 		return d
 	}
-	best.ownLoad.add(1, 0)
+	s.addLoad(best, 1, 0)
 	best.sentSinceLoad++
 	s.spend(now, best.ID)
 	return d
@@ -265,6 +265,7 @@
 	load.WorkTime = time.Duration(r.workTime * float64(time.Second))
 	r.setLoad(load)
 	r.loadIsOwn = true
+	s.told[id] = true
 }
 
 // addWorkTimeSample updates the work time.
@@ -303,10 +304,8 @@
 	if !s.AdmitsByLoad() {
 		return loads
 	}
-	for id, r := range s.replicas {
-		if r.loadIsOwn && now.Sub(r.load.At) <= maxLoadAge {
-			loads[id] = r.load
-		}
+	for _, id := range s.idsAmong(s.told, func(r *replica) bool { return r.loadIsOwn && now.Sub(r.load.At) <= maxLoadAge }) {
+		loads[id] = s.replicas[id].load
 	}
 	return loads
 }
--- a/placement/unreachable.go
+++ b/placement/unreachable.go
@@ -21,7 +21,7 @@
 // fleet each VM sends few requests, so without the reports of others each would find a dead replica by itself, and lose
 // a request to it each time.
 func (s *Scheduler) UnreachableIDs(now time.Time) []string {
-	return s.idsWhere(func(r *replica) bool { return r.unreachable && now.Before(r.backoffUntil) })
+	return s.idsAmong(s.unreachable, func(r *replica) bool { return r.unreachable && now.Before(r.backoffUntil) })
 }
 
 // SetPeerUnreachable replaces the IDs of the replicas that another VM reports as unreachable. Replicas that several
