gateway, follow: one VM of a group reads the list of replicas, and passes it on

What callers saw: at 300 VMs, 404 by an old configuration for 5 s and more. Cause: each VM reads all entries of replicas by itself, 0.5 MB for 3,000; 150 VMs of the far region fill the 60 Mbit/s between the regions for over 10 s when they start, each read that times out begins anew, and declarations wait behind. Change: the first VM of a group by name reads; changes go to its group with the range that they cover, the whole list in compressed pages to VMs that have none. Whoever gets nothing in time reads itself.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,7 +39,7 @@
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas),
 			gateway.WithDeclarationsCheck(syncer.checkDeclarations),
-			gateway.WithSharedStore(cfg.Listen.Peers, syncer.refreshCopy)},
+			gateway.WithSharedStore(cfg.Listen.Peers, syncer.refreshCopy), gateway.WithListFeed(syncer.advanceReplicas)},
 		reload: func(*gateway.Controller) error { return nil },
 	}, closeClient
 }
@@ -61,6 +62,8 @@
 	// vmsRefresh and copyRefresh trigger a read of the list of VMs and of the backup copy.
 	vmsRefresh  chan struct{}
 	copyRefresh chan struct{}
+	// replicas follows the list of replicas, or is nil before that begins.
+	replicas atomic.Pointer[follow.Follower]
 }
 
 // newStoreSyncer returns a storeSyncer that lacks its store and eras: what follows a new era is its own.
@@ -79,6 +82,13 @@
 // refreshReplicas triggers an immediate read of the list of replicas.
 func (s *storeSyncer) refreshReplicas() { notify(s.replicasRefresh) }
 
+// advanceReplicas records that the list of replicas is known up to an offset from a peer.
+func (s *storeSyncer) advanceReplicas(offset, era uint64) {
+	if f := s.replicas.Load(); f != nil {
+		f.Advance(offset, era)
+	}
+}
+
 // refreshCopy triggers an immediate read of the backup copy.
 func (s *storeSyncer) refreshCopy() { notify(s.copyRefresh) }
 
@@ -101,7 +111,8 @@
 	}, follow.WithWait(declarationsPollTimeout), follow.WithWakeups(s.declarationsRefresh))
 	replicas := newFollower(platform.TopicReplicas, func(b follow.Batch) {
 		control.ApplyReplicas(gateway.NewReplicaUpdate(b, platform.DecodeReplica))
-	}, follow.WithInterval(gateway.MaxListReadInterval), follow.WithWakeups(s.replicasRefresh))
+	}, follow.WithInterval(gateway.MaxListReadInterval), follow.WithWakeups(s.replicasRefresh), follow.WithFirstReadOnWakeup())
+	s.replicas.Store(replicas)
 	vms := newFollower(platform.TopicVMs, func(b follow.Batch) {
 		control.ApplyVMRecords(b)
 		if b.Snapshot && !s.containsOwnRecord(b) {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -90,6 +90,10 @@
 	log       *zap.Logger
 	now       func() time.Time
 	wakeups   <-chan struct{}
+	// waitFirst is whether the first read waits for a wakeup.
+	waitFirst bool
+	// advanced is the position of Advance that has not been taken over yet.
+	advanced atomic.Pointer[position]
 
 	nextOffset   uint64
 	haveSnapshot bool
@@ -127,6 +131,9 @@
 // interrupts a waiting read and makes the follower read a new snapshot.
 func WithWakeups(wakeups <-chan struct{}) Option { return func(f *Follower) { f.wakeups = wakeups } }
 
+// WithFirstReadOnWakeup makes the first read wait for a wakeup: the content of the topic may come from elsewhere.
+func WithFirstReadOnWakeup() Option { return func(f *Follower) { f.waitFirst = true } }
+
 // WithLogger sets the logger for outages of the store and for expired records.
 func WithLogger(log *zap.Logger) Option { return func(f *Follower) { f.log = log } }
 
@@ -161,12 +168,33 @@
 	return len(found.Records) == 0 && found.Era == read.era, nil
 }
 
+// Advance tells the follower that the topic up to an offset, which holds in an era, is known from elsewhere, so that the next
+// read begins there. It may be called while Run runs.
+func (f *Follower) Advance(offset, era uint64) { f.advanced.Store(&position{offset, era}) }
+
+// takeAdvance takes over the position of Advance if it is further than what has been read.
+func (f *Follower) takeAdvance() {
+	to := f.advanced.Swap(nil)
+	if to == nil || f.everRead && (to.era != f.era || to.offset <= f.nextOffset) {
+		return
+	}
+	f.haveSnapshot, f.everRead, f.nextOffset, f.era = true, true, to.offset, to.era
+}
+
 // Run reads the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = minRetryDelay, maxRetryDelay
 	f.lastSuccess = f.now()
+	if f.waitFirst {
+		select {
+		case <-ctx.Done():
+		case <-f.wakeups:
+		}
+		f.lastSuccess = f.now()
+	}
 	for ctx.Err() == nil {
+		f.takeAdvance()
 		batch, err := f.fetch(ctx)
 		switch {
 		case err == nil:
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -268,3 +268,35 @@
 		assert.ErrorIs(t, err, errNoSnapshot)
 	})
 }
+
+// TestFollowerBeginsWhereItWasAdvancedTo guards against a follower that reads what is known from elsewhere.
+func TestFollowerBeginsWhereItWasAdvancedTo(t *testing.T) {
+	topic := &fakeTopic{era: 3}
+	for range 5 {
+		topic.put("k", "v")
+	}
+	wakeups, batches := make(chan struct{}, 1), make(chan Batch, 10)
+	f := New(Topic{Name: "t", Newest: topic.newest, Read: topic.read}, func(b Batch) { batches <- b }, WithInterval(time.Hour), WithWakeups(wakeups), WithFirstReadOnWakeup())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	f.Advance(4, 3)
+	select {
+	case <-batches:
+		require.Fail(t, "it reads before the first wakeup")
+	case <-time.After(50 * time.Millisecond):
+	}
+	wakeups <- struct{}{}
+	first := <-batches
+	assert.False(t, first.Snapshot)
+	assert.Len(t, first.Records, 1)
+	f.Advance(2, 3)
+	wakeups <- struct{}{}
+	assert.Empty(t, (<-batches).Records, "it never goes back")
+	cancel()
+	<-done
+	topic.update(func() { assert.Zero(t, topic.newestCalls) })
+}
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -31,7 +31,12 @@
 	if b.VM == c.self.VM {
 		return
 	}
-	if b.Scope != peer.ScopeVM {
+	switch b.Scope {
+	case peer.ScopeVM:
+	case peer.ScopeList:
+		c.handleListPage(b)
+		return
+	default:
 		c.handleSummary(b)
 		return
 	}
@@ -48,6 +53,7 @@
 	afterSilence := p.silent && p.incarnation == b.Incarnation
 	c.recordHeard(now, p, b)
 	c.recordGroupMate(now, p, b)
+	c.feedIfWithoutList(now, b)
 	c.quotas.ApplyPeerSpent(now, processRun(b.VM, b.Incarnation), b.SpentTokens, afterSilence)
 	c.scheduler.SetPeerUnreachable(now, b.VM, b.UnreachableReplicas)
 	c.applyHints(now, b)
@@ -70,7 +76,7 @@
 		c.listSchedule.recordPeerRun(now.Add(-b.ListAge))
 	}
 	c.recordPeerCheck(now, b)
-	c.listSchedule.recordPeerChange(listPosition{b.ListEra, b.ListOffset})
+	c.listSchedule.recordPeerChange(now, listPosition{b.ListEra, b.ListOffset})
 	c.refreshIfNewer(now, b.VM, b.Version)
 	c.refreshIfEvacuationsChanged(now, b)
 }
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -53,6 +53,8 @@
 	sendBeacon          func(peer.Beacon, []peerAddress) error
 	refreshDeclarations func()
 	readList            func()
+	// advanceList is told up to where the list of replicas has become known from a peer, or nil.
+	advanceList func(offset, era uint64)
 	// checkDeclarations triggers a check of the store for newer declarations.
 	checkDeclarations func()
 	// readCopy triggers a read of the backup copy.
@@ -71,6 +73,7 @@
 	budget     *retryBudget
 	peers      map[string]*peerState
 	replicas   replicaList
+	feed       listFeed
 	limits     *quota.ReplicaLimits
 	cold       *quota.ColdLimits
 	zones      zones
@@ -130,7 +133,7 @@
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
 		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
-		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), limits: limits, cold: cold, invalidHeaders: map[string]string{},
+		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: listFeed{wholeAt: map[string]time.Time{}}, limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -39,10 +39,13 @@
 	// next is the position after the last record read, and changed the position after the last change seen.
 	next    listPosition
 	changed listPosition
-	// vmCount is the number of VMs that read the list.
-	vmCount int
-	// stale is whether a peer has seen a change that this VM has not read.
-	stale bool
+	// vmCount is the number of VMs, and readers how many of them read the list when it has changed.
+	vmCount, readers int
+	// stale is whether a peer has seen a change that this VM has not read, staleAt since when, and staleWait how long another VM
+	// is given to pass the change on.
+	stale     bool
+	staleAt   time.Time
+	staleWait time.Duration
 }
 
 func newListReadSchedule() listReadSchedule {
@@ -57,7 +60,7 @@
 	if next.after(l.next) {
 		l.next = next
 	}
-	l.ranAt, l.stale = now, false
+	l.ranAt, l.stale = later(l.ranAt, now), false
 }
 
 // recordChange records that the list has changed before position changed.
@@ -68,18 +71,22 @@
 }
 
 // recordPeerChange marks the list as stale if changed, the position after a peer's last change, has not been read yet.
-func (l *listReadSchedule) recordPeerChange(changed listPosition) {
-	if changed.after(l.next) {
-		l.stale = true
+func (l *listReadSchedule) recordPeerChange(now time.Time, changed listPosition) {
+	if !changed.after(l.next) {
+		return
+	}
+	if !l.stale {
+		l.staleAt = now
 	}
+	l.stale = true
 }
 
 // dueIn returns the time until the next read, which is due if it is 0 or less.
 func (l *listReadSchedule) dueIn(now time.Time) time.Duration {
 	sinceOwn := now.Sub(l.lastOwn())
 	if l.stale {
-		interval := min(max(minChangeReadInterval, time.Duration(l.vmCount)*changeReadIntervalPerVM), maxChangeReadInterval)
-		return interval - sinceOwn
+		interval := min(max(minChangeReadInterval, time.Duration(l.readers)*changeReadIntervalPerVM), maxChangeReadInterval)
+		return max(interval-sinceOwn, l.staleWait-now.Sub(l.staleAt))
 	}
 	return min(l.fleetTask.dueIn(now), MaxListReadInterval-sinceOwn)
 }
@@ -96,10 +103,15 @@
 
 // listReadDueIn returns the time until this VM should read the replica list.
 func (c *Controller) listReadDueIn(now time.Time) time.Duration {
-	if c.readList == nil {
+	switch {
+	case c.readList == nil:
 		return MaxListReadInterval
+	case c.replicas.everRead || !c.listSchedule.requestedAt.IsZero():
+		return c.listSchedule.dueIn(now)
+	case c.feedsList():
+		return c.firstListReadDueIn(now)
 	}
-	return c.listSchedule.dueIn(now)
+	return 0
 }
 
 // readListIfDue triggers a read of the replica list if one is due.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -177,6 +177,7 @@
 	c.cold.SetMembers(now, members, c.fleetListed)
 	c.listSchedule.rank, c.listSchedule.vmCount = rank, count+1
 	c.declarationChecks.rank = rank
+	c.listSchedule.readers, c.listSchedule.staleWait = c.listReaders(), c.listChangeWait()
 	c.scheduler.SetVMCount(count + 1)
 	c.updateQuotaShares(now, known, count, silent, startedTogether)
 	if known {
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -94,8 +94,14 @@
 }
 
 func (c *Controller) applyReplicas(now time.Time, update ReplicaUpdate) {
+	changed := c.applyList(now, now, update)
+	c.feedUpdate(now, update, changed)
+}
+
+// applyList applies an update of the list that was read at a time. It returns the IDs of the replicas that have changed.
+func (c *Controller) applyList(now, readAt time.Time, update ReplicaUpdate) (changed []string) {
 	c.replicas.everRead = true
-	c.listSchedule.recordRead(now, listPosition{update.Era, update.Next})
+	c.listSchedule.recordRead(readAt, listPosition{update.Era, update.Next})
 	if update.Outage > 0 || update.Restored {
 		c.replicas.trustFrom = now.Add(recoveryGrace)
 	}
@@ -111,6 +117,7 @@
 		}
 		if c.renewIfRestarted(replica.ID, update.versions[replica.ID]) {
 			c.recordListChange(update.offsets[replica.ID])
+			changed = append(changed, replica.ID)
 		}
 		c.replicas.versions.record(replica.ID, update.versions[replica.ID])
 		delete(c.replicas.doubtful, replica.ID)
@@ -120,6 +127,7 @@
 		}
 		c.scheduler.SetReplica(replica)
 		c.recordListChange(update.offsets[replica.ID])
+		changed = append(changed, replica.ID)
 		c.log.Info("replica-listed", zap.String("Replica", replica.ID), zap.String("Pool", replica.Pool), zap.String("Address", replica.Address),
 			zap.String("Zone", replica.Zone), zap.Stringer("Stage", replica.Stage), zap.Bool("Leaving", replica.Leaving))
 	}
@@ -127,16 +135,18 @@
 		if replica, exists := c.scheduler.Replica(id); exists {
 			c.removeReplica(now, replica)
 			c.recordListChange(update.offsets[id])
+			changed = append(changed, id)
 		}
 	}
 	if !update.Snapshot {
-		return
+		return changed
 	}
 	for _, replica := range c.scheduler.Replicas() {
 		if !listed[replica.ID] {
 			c.removeReplica(now, replica)
 		}
 	}
+	return changed
 }
 
 // removeReplica removes a replica whose entry is missing. While the list cannot be trusted after an outage, a replica
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -28,6 +28,8 @@
 	ScopeVM Scope = ""
 	// ScopeGroup is the scope of a summary of the sender's group, for the VMs of other groups.
 	ScopeGroup Scope = "Group"
+	// ScopeList is the scope of a page of the list of replicas, for VMs of the sender's group.
+	ScopeList Scope = "List"
 )
 
 // Member is a VM of which a summary tells.
@@ -50,6 +52,8 @@
 	// AvailabilityZone is that of the VM.
 	AvailabilityZone string
 	Scope            Scope
+	// List is set in a page of the list of replicas, which tells nothing else.
+	List *ListPage
 	// Forwarded is whether a summary was passed on by a VM of the receiver's group, which has sent it to the whole group.
 	Forwarded bool
 	// Members holds the VMs of which a summary tells, those that are heard. It is nil in the beacon of one VM.
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -23,6 +23,7 @@
 	Zone            string                    `json:",omitempty"`
 	Scope           Scope                     `json:",omitempty"`
 	Forwarded       bool                      `json:",omitempty"`
+	List            *listMessage              `json:",omitempty"`
 	Members         []memberMessage           `json:",omitempty"`
 	Reports         map[string]int            `json:",omitempty"`
 	VMCount         int                       `json:",omitempty"`
@@ -175,7 +176,12 @@
 // EncodeBeacon returns the datagram that carries a beacon: a JSON-RPC notification.
 func EncodeBeacon(b Beacon) ([]byte, error) {
 	request := jsonrpc2.Request{Method: methodBeacon, Notif: true}
-	if err := request.SetParams(newBeaconMessage(b)); err != nil {
+	m := newBeaconMessage(b)
+	var err error
+	if m.List, err = newListMessage(b.List); err != nil {
+		return nil, err
+	}
+	if err := request.SetParams(m); err != nil {
 		return nil, err
 	}
 	return json.Marshal(&request)
@@ -197,5 +203,11 @@
 	if m.VM == "" {
 		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: errors.New("field VM is empty")}
 	}
-	return m.beacon(), nil
+	b := m.beacon()
+	page, err := m.List.page()
+	if err != nil {
+		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
+	}
+	b.List = page
+	return b, nil
 }
