--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -106,5 +106,9 @@
 		release()
 	}
 	reqErr = errorf("admit", ErrQuarantined, "%d replicas have ended under part %s of the request", decision.Ends, decision.Part)
+	if decision.RetryAfter == 0 {
+		// The request itself may run as a trial, but not again after its run broke off.
+		decision.RetryAfter = quarantine.SurvivalPeriod
+	}
 	return func() {}, reqErr.withRetryAfter(decision.RetryAfter)
 }
--- a/peer/list_page.go
+++ b/peer/list_page.go
@@ -42,11 +42,11 @@
 
 // listMessage is the wire format of a ListPage. Entries are compressed JSON.
 type listMessage struct {
-	Era, From, Next       uint64
-	Snapshot              bool `json:",omitempty"`
-	Page, Pages           int
-	AgeMillis, DoubtMilli int64
-	Entries               []byte
+	Era, From, Next        uint64
+	Snapshot               bool `json:",omitempty"`
+	Page, Pages            int
+	AgeMillis, DoubtMillis int64
+	Entries                []byte
 }
 
 func newListMessage(p *ListPage) (*listMessage, error) {
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	return &listMessage{Era: p.Era, From: p.From, Next: p.Next, Snapshot: p.Snapshot, Page: p.Page, Pages: p.Pages, AgeMillis: p.Age.Milliseconds(),
-		DoubtMilli: p.DoubtFor.Milliseconds(), Entries: compressed.Bytes()}, nil
+		DoubtMillis: p.DoubtFor.Milliseconds(), Entries: compressed.Bytes()}, nil
 }
 
 func (m *listMessage) page() (*ListPage, error) {
@@ -75,7 +75,7 @@
 	if m.Pages < 1 || m.Page < 0 || m.Page >= m.Pages {
 		return nil, fmt.Errorf("page %d of %d", m.Page, m.Pages)
 	}
-	p := &ListPage{Era: m.Era, From: m.From, Next: m.Next, Snapshot: m.Snapshot, Page: m.Page, Pages: m.Pages, Age: millis(m.AgeMillis), DoubtFor: millis(m.DoubtMilli)}
+	p := &ListPage{Era: m.Era, From: m.From, Next: m.Next, Snapshot: m.Snapshot, Page: m.Page, Pages: m.Pages, Age: millis(m.AgeMillis), DoubtFor: millis(m.DoubtMillis)}
 	data := io.LimitReader(flate.NewReader(bytes.NewReader(m.Entries)), maxListPageBytes)
 	if err := json.NewDecoder(data).Decode(&p.Entries); err != nil {
 		return nil, err
