follow, platform, gateway: a read is not given up while its answer arrives

Change: 1.5 s without progress, 12 s in all; the first reads of a group whose reader passes nothing on are 0.3 s apart, up to 1.2 s.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// callTimeout is the timeout of a call, in addition to the time it waits for records. A slow store takes up to
-	// 0.4 s to respond.
-	callTimeout = 1500 * time.Millisecond
+	// callTimeout is how long a call may go without progress, in addition to the time it waits for records. A slow store takes
+	// up to 0.4 s to respond. maxCallDuration is how long it may take in all.
+	callTimeout     = 1500 * time.Millisecond
+	maxCallDuration = 12 * time.Second
 	// checkTimeout is the timeout of a call that does not wait for records and that is repeated after a second.
 	checkTimeout = time.Second
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call, before a jitter of 50 %. A change must be
@@ -221,7 +222,7 @@
 // fetch reads a snapshot if the follower has no valid one, and the next records otherwise.
 func (f *Follower) fetch(ctx context.Context) (Batch, error) {
 	if !f.haveSnapshot {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := withProgressTimeout(ctx, callTimeout)
 		defer cancel()
 		found, err := f.topic.Newest(callCtx)
 		if err != nil {
@@ -232,13 +233,13 @@
 		return Batch{Records: found.Records, Snapshot: true, NextOffset: found.Next, Era: found.Era, Restored: restored}, nil
 	}
 	if f.wait == 0 {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := withProgressTimeout(ctx, callTimeout)
 		defer cancel()
 		return f.readNext(callCtx)
 	}
 	wakeCtx, cancelOnWakeup := context.WithCancelCause(ctx)
 	defer cancelOnWakeup(nil)
-	callCtx, cancel := context.WithTimeout(wakeCtx, f.wait+callTimeout)
+	callCtx, cancel := withProgressTimeout(wakeCtx, f.wait+callTimeout)
 	defer cancel()
 	go func() {
 		select {
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -23,6 +23,10 @@
 	unknownFleetListWait = 2 * time.Second
 	// minFeedInterval is the minimum time between two whole lists for the same VM.
 	minFeedInterval = time.Second
+	// listTakeoverStagger is the additional wait for each VM of the group that comes before, up to maxListTakeover: reads of a
+	// whole group at once would fill a link.
+	listTakeoverStagger = 300 * time.Millisecond
+	maxListTakeover     = 1200 * time.Millisecond
 )
 
 // listFeed passes what the reader of a group has read of the list of replicas on to the group. If each VM read it by itself, the
@@ -69,12 +73,18 @@
 	if listened := now.Sub(c.feed.listens); listened < mateListenPeriod || c.groupReader() == c.self.VM {
 		return mateListenPeriod - listened
 	}
-	return startListWait + c.listTakeover() - now.Sub(c.feed.listens)
+	return startListWait + c.firstListTakeover() - now.Sub(c.feed.listens)
 }
 
-// listTakeover spreads the reads of VMs whose reader does not pass the list on.
-func (c *Controller) listTakeover() time.Duration {
-	return min(time.Duration(c.listSchedule.rank)*takeoverStagger, maxTakeoverStagger)
+// firstListTakeover spreads the first reads, of whole lists, of VMs whose reader does not pass the list on.
+func (c *Controller) firstListTakeover() time.Duration {
+	before := 0
+	for _, name := range c.currentGroups().mates {
+		if c.peers[name].takesPrecedence(name, c.self.VM) {
+			before++
+		}
+	}
+	return min(time.Duration(before)*listTakeoverStagger, maxListTakeover)
 }
 
 // listReaders returns how many VMs read the list when it has changed: one of each group, or all.
@@ -90,7 +100,7 @@
 	if !c.feedsList() || c.groupReader() == c.self.VM {
 		return 0
 	}
-	return mateListWait + c.listTakeover()
+	return mateListWait + min(time.Duration(c.listSchedule.rank)*takeoverStagger, maxTakeoverStagger)
 }
 
 // feedUpdate tells the group of an update that this VM has read from the store, if it is the group's reader.
