--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -37,7 +37,8 @@
 	// wholeAt is when a VM was last sent the whole list, by name.
 	wholeAt map[string]time.Time
 	// pages holds the pages of a list that is being received.
-	pages   []*peer.ListPage
+	pages []*peer.ListPage
+	// listens is when this VM began to listen for its group, before it has a list.
 	listens time.Time
 }
 
