--- a/exchange/client.go
+++ b/exchange/client.go
@@ -58,6 +58,8 @@
 	// History holds the connections that earlier tries of the same request have used, which this one does not reuse. Nil
 	// means that there were none.
 	History *History
+	// OnRead is called whenever a part of the response body has been read. It may be nil.
+	OnRead func()
 	// AcceptResponse reports whether a response with this header belongs to the request. Nil accepts every response.
 	AcceptResponse func(http.Header) bool
 }
@@ -80,6 +82,7 @@
 	sawEOF    bool
 	keepAlive bool
 	closed    bool
+	onRead    func()
 	// cause replaces an error of the connection by the cancellation cause of the request's context, if it is done.
 	cause func(error) error
 }
@@ -231,7 +234,7 @@
 	}
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
 		Framing: framingOf(httpResp),
-		body:    httpResp.Body, conn: connection, client: c, addr: addr, stop: stop, write: write,
+		body:    httpResp.Body, onRead: r.OnRead, conn: connection, client: c, addr: addr, stop: stop, write: write,
 		cause: func(err error) error { return cause(ctx, err) }}
 	resp.keepAlive = !httpResp.Close && connection.applyKeepAlive(c.now(), httpResp.Header)
 	return resp, nil
@@ -330,6 +333,9 @@
 // is truncated.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if n > 0 && r.onRead != nil {
+		r.onRead()
+	}
 	if err == io.EOF {
 		r.sawEOF = true
 		return n, err
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -51,18 +51,21 @@
 // feedsList reports whether the VMs of a group pass the list of replicas on.
 func (c *Controller) feedsList() bool { return c.groups != nil && c.advanceList != nil }
 
-// groupReader returns the VM that reads the list of replicas for this VM's group: the first by name of those that are heard and
-// stay.
-func (c *Controller) groupReader() string {
-	reader := c.self.VM
+// groupRank returns the number of VMs of the group that take precedence over this one in reading the list of replicas. The one
+// with none, the first by name of those that are heard and stay, is the group's reader.
+func (c *Controller) groupRank() int {
+	rank := 0
 	for _, name := range c.currentGroups().mates {
-		if c.peers[name].takesPrecedence(name, reader) {
-			reader = name
+		if c.peers[name].takesPrecedence(name, c.self.VM) {
+			rank++
 		}
 	}
-	return reader
+	return rank
 }
 
+// readsForGroup reports whether this VM is the reader of its group.
+func (c *Controller) readsForGroup() bool { return c.groupRank() == 0 }
+
 // firstListReadDueIn returns the time until this VM reads the list of replicas for the first time.
 func (c *Controller) firstListReadDueIn(now time.Time) time.Duration {
 	if !c.fleetListed {
@@ -71,7 +74,7 @@
 	if c.feed.listens.IsZero() {
 		c.feed.listens = now
 	}
-	if listened := now.Sub(c.feed.listens); listened < mateListenPeriod || c.groupReader() == c.self.VM {
+	if listened := now.Sub(c.feed.listens); listened < mateListenPeriod || c.readsForGroup() {
 		return mateListenPeriod - listened
 	}
 	return startListWait + c.firstListTakeover() - now.Sub(c.feed.listens)
@@ -79,13 +82,7 @@
 
 // firstListTakeover spreads the first reads, of whole lists, of VMs whose reader does not pass the list on.
 func (c *Controller) firstListTakeover() time.Duration {
-	before := 0
-	for _, name := range c.currentGroups().mates {
-		if c.peers[name].takesPrecedence(name, c.self.VM) {
-			before++
-		}
-	}
-	return min(time.Duration(before)*listTakeoverStagger, maxListTakeover)
+	return min(time.Duration(c.groupRank())*listTakeoverStagger, maxListTakeover)
 }
 
 // listReaders returns how many VMs read the list when it has changed: one of each group, or all.
@@ -98,7 +95,7 @@
 
 // listChangeWait returns how long this VM waits for another one of its group to pass on a change of the list.
 func (c *Controller) listChangeWait() time.Duration {
-	if !c.feedsList() || c.groupReader() == c.self.VM {
+	if !c.feedsList() || c.readsForGroup() {
 		return 0
 	}
 	return mateListWait + min(time.Duration(c.listSchedule.rank)*takeoverStagger, maxTakeoverStagger)
@@ -111,7 +108,7 @@
 	}
 	from, to := c.feed.fedTo, listPosition{update.Era, update.Next}
 	c.feed.fedTo = to
-	if c.groupReader() != c.self.VM || len(c.groups.mates) == 0 {
+	if !c.readsForGroup() || len(c.groups.mates) == 0 {
 		return
 	}
 	if update.Snapshot || from.era != to.era {
@@ -123,19 +120,21 @@
 		c.feed.fedTo = from
 		return
 	}
+	cold := c.cold.Remaining(now)
 	var entries []peer.ListEntry
 	for _, id := range changed {
-		entries = append(entries, c.listEntry(now, id, update.offsets[id]))
+		entries = append(entries, c.listEntry(cold, id, update.offsets[id]))
 	}
 	c.sendPages(now, peer.ListPage{Era: to.era, From: from.offset, Next: to.offset}, entries, c.groups.mates)
 }
 
 // feedAll sends VMs of the group the whole list.
 func (c *Controller) feedAll(now time.Time, names []string) {
+	cold := c.cold.Remaining(now)
 	var entries []peer.ListEntry
 	for _, replica := range c.scheduler.Replicas() {
 		if !replica.Doubtful {
-			entries = append(entries, c.listEntry(now, replica.ID, 0))
+			entries = append(entries, c.listEntry(cold, replica.ID, 0))
 		}
 	}
 	for _, name := range names {
@@ -145,14 +144,14 @@
 	c.sendPages(now, peer.ListPage{Era: next.era, Next: next.offset, Snapshot: true}, entries, names)
 }
 
-// listEntry returns what this VM knows of a replica.
-func (c *Controller) listEntry(now time.Time, id string, offset uint64) peer.ListEntry {
+// listEntry returns what this VM knows of a replica. cold holds how much longer replicas are cold.
+func (c *Controller) listEntry(cold map[string]time.Duration, id string, offset uint64) peer.ListEntry {
 	replica, listed := c.scheduler.Replica(id)
 	if !listed || replica.Doubtful {
 		return peer.ListEntry{Replica: placement.Replica{ID: id}, Removed: true, Offset: offset}
 	}
 	version := c.replicas.versions.newest[id]
-	return peer.ListEntry{Replica: replica, Offset: offset, Born: version.Born, Sequence: version.Sequence, ColdFor: c.cold.Remaining(now)[id]}
+	return peer.ListEntry{Replica: replica, Offset: offset, Born: version.Born, Sequence: version.Sequence, ColdFor: cold[id]}
 }
 
 // sendPages sends entries in pages to VMs of the group.
@@ -178,7 +177,7 @@
 
 // feedIfWithoutList sends a VM of the group that has not got a list yet the whole list.
 func (c *Controller) feedIfWithoutList(now time.Time, b peer.Beacon) {
-	if !c.feedsList() || b.ListAge >= 0 || b.Leaving || !c.replicas.everRead || c.groupReader() != c.self.VM || now.Sub(c.feed.wholeAt[b.VM]) < minFeedInterval {
+	if !c.feedsList() || b.ListAge >= 0 || b.Leaving || !c.replicas.everRead || !c.readsForGroup() || now.Sub(c.feed.wholeAt[b.VM]) < minFeedInterval {
 		return
 	}
 	c.feedAll(now, []string{b.VM})
