--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -21,15 +21,8 @@
 	"github.com/cassiabridge/cassiabridge/routing"
 )
 
-const (
-	eventQueueCapacity = 4096
-	// maxEventDelay is the time for which an event may wait before that is logged, eventDelayLogInterval the minimum time
-	// between two such lines.
-	maxEventDelay         = 300 * time.Millisecond
-	eventDelayLogInterval = time.Second
-	// waitingPollInterval is how often the scheduler is polled while requests wait for placement.
-	waitingPollInterval = 10 * time.Millisecond
-)
+// waitingPollInterval is how often the scheduler is polled while requests wait for placement.
+const waitingPollInterval = 10 * time.Millisecond
 
 // Controller owns the control state of one VM. Its exported methods are safe for concurrent use.
 type Controller struct {
@@ -185,32 +178,6 @@
 	return max(wake, time.Millisecond)
 }
 
-// event is a function that waits for the control goroutine since postedAt.
-type event struct {
-	run      func()
-	postedAt time.Time
-}
-
-// post queues a function to run on the control goroutine. It blocks while the queue is full.
-func (c *Controller) post(run func()) { c.events <- event{run, c.now()} }
-
-// recordEventDelay records how long an event has waited, and logs it if that is long.
-func (c *Controller) recordEventDelay(now time.Time, e event) {
-	delay := now.Sub(e.postedAt)
-	c.metrics.EventDelay.Observe(delay.Seconds())
-	if delay > maxEventDelay && now.Sub(c.delayLoggedAt) >= eventDelayLogInterval {
-		c.delayLoggedAt = now
-		c.log.Warn("events-delayed", zap.Duration("Delay", delay), zap.Int("Waiting", len(c.events)))
-	}
-}
-
-// ask runs f on the control goroutine and waits for its result.
-func ask[T any](c *Controller, f func() T) T {
-	answer := make(chan T, 1)
-	c.post(func() { answer <- f() })
-	return <-answer
-}
-
 // Table returns the declarations in force, or nil before there are any.
 func (c *Controller) Table() *routing.Table { return c.table.Load() }
 
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"net"
@@ -10,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiabridge/cassiabridge/peer"
@@ -34,43 +32,6 @@
 	simConfigSize = 20_000
 )
 
-// simEvent is something that happens at a time of the simulation.
-type simEvent struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int      { return len(q) }
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
-}
-func (q *simQueue) Push(e any) { *q = append(*q, e.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
-// simLink is a link that sends one message after another.
-type simLink struct {
-	rate      float64
-	busyUntil time.Time
-	bytes     int
-}
-
-// send returns when a message that is handed over at a time has left the link.
-func (l *simLink) send(at time.Time, size int) time.Time {
-	l.busyUntil = later(l.busyUntil, at).Add(time.Duration(float64(size) / l.rate * float64(time.Second)))
-	l.bytes += size
-	return l.busyUntil
-}
-
-func (l *simLink) wait(at time.Time) time.Duration { return max(0, l.busyUntil.Sub(at)) }
-
 // simVM is one VM of a simFleet.
 type simVM struct {
 	*Controller
@@ -411,144 +372,3 @@
 		link.bytes = 0
 	}
 }
-
-// Targets that hold for a fleet of any size.
-const (
-	configTarget = time.Second
-	// drainBound is the time within which the users' largest deployment of two regions sends nothing more to a replica that leaves.
-	drainBound = 4 * time.Second
-	// maxBusiest bounds the traffic of the busiest VM, as a multiple of that in the middle.
-	maxBusiest = 2
-)
-
-func isConfigured(f *simFleet) func(*simVM) bool {
-	return func(v *simVM) bool { return v.version() == f.config.Version }
-}
-
-func knowsLeaving(id string) func(*simVM) bool {
-	return func(v *simVM) bool { return !v.scheduler.Serves(id) }
-}
-
-// simSizes are the numbers of VMs that are simulated.
-var simSizes = []int{30, 79, 300}
-
-// forEachSize runs a test on a fleet of each size that has run for some seconds.
-func forEachSize(t *testing.T, test func(t *testing.T, f *simFleet)) {
-	for _, size := range simSizes {
-		t.Run(fmt.Sprintf("%d VMs", size), func(t *testing.T) {
-			t.Parallel()
-			f := newSimFleet(t, size, 4*size)
-			f.run(4 * time.Second)
-			test(t, f)
-		})
-	}
-}
-
-// TestRelaysOfALargeFleetFillTheirLinks guards against VMs that carry many times what others do, so that what waits behind it
-// on their links is late.
-func TestRelaysOfALargeFleetFillTheirLinks(t *testing.T) {
-	t.Parallel()
-	forEachSize(t, func(t *testing.T, f *simFleet) {
-		const period = 2 * time.Second
-		f.resetTraffic()
-		f.run(period)
-		rates := f.traffic(period)
-		middle, busiest := rates[len(rates)/2], rates[len(rates)-1]
-		t.Logf("%.0f kB/s in the middle, %.0f at the busiest, %.0f between the regions", middle/1000, busiest/1000, float64(f.between[simNorth].bytes)/period.Seconds()/1000)
-		assert.LessOrEqual(t, busiest, maxBusiest*middle)
-		took := time.Duration(0)
-		for range 3 {
-			f.configure()
-			took = max(took, f.runUntil(10*time.Second, isConfigured(f)))
-			f.run(time.Second)
-		}
-		t.Logf("declarations in force after %v", took)
-		assert.LessOrEqual(t, took, configTarget)
-	})
-}
-
-// TestLeavingReplicaIsUsedOnWhileTheReaderOfTheListFails guards against VMs that take the last read of the list for fresh after
-// the VM that read it for all has frozen, or gets no more answers.
-func TestLeavingReplicaIsUsedOnWhileTheReaderOfTheListFails(t *testing.T) {
-	t.Parallel()
-	forEachSize(t, func(t *testing.T, f *simFleet) {
-		byRank := slices.SortedFunc(slices.Values(f.vms), func(a, b *simVM) int { return cmp.Compare(a.self.VM, b.self.VM) })
-		leave := func(what string) {
-			f.run(300 * time.Millisecond)
-			id := f.leave(f.leaves).ID
-			f.leaves++
-			took := f.runUntil(2*drainBound, knowsLeaving(id))
-			t.Logf("%s: in force after %v", what, took)
-			assert.LessOrEqual(t, took, drainBound, what)
-		}
-		leave("calm")
-		for n, v := range byRank[:3] {
-			f.freeze(v)
-			leave(fmt.Sprintf("%d readers frozen", n+1))
-		}
-		for _, v := range byRank[:3] {
-			f.thaw(v)
-		}
-		f.run(3 * time.Second)
-		for n, v := range byRank[:6] {
-			v.cutFromStore = true
-			f.run(time.Duration(n) * 150 * time.Millisecond)
-			id := f.leave(f.leaves).ID
-			f.leaves++
-			took := f.runUntil(2*drainBound, func(other *simVM) bool { return other.cutFromStore || knowsLeaving(id)(other) })
-			t.Logf("%d readers without answers: in force after %v", n+1, took)
-			assert.LessOrEqual(t, took, drainBound)
-		}
-	})
-}
-
-// TestSummaryMakesAnOldReadLookFresh guards against a VM that passes on the age of a read as it was when it arrived, so that
-// VMs of other groups do not take over from a reader that has failed.
-func TestSummaryMakesAnOldReadLookFresh(t *testing.T) {
-	t.Parallel()
-	f := newSimFleet(t, 30, 30)
-	f.run(3 * time.Second)
-	f.freeze(f.byName["vm-a-south-1-1"])
-	f.run(3 * time.Second)
-	f.thaw(f.byName["vm-a-south-1-1"])
-	f.run(time.Second)
-	f.byName["vm-a-south-1-1"].cutFromStore = true
-	f.run(3 * time.Second)
-	assert.Empty(t, f.tooYoung)
-}
-
-// TestAllVMsReadTheWholeListWhenTheyStart guards against a link between regions that is full for seconds when all VMs start, since
-// each reads the entries of all replicas by itself, so that declarations are late.
-func TestAllVMsReadTheWholeListWhenTheyStart(t *testing.T) {
-	t.Parallel()
-	for _, size := range simSizes {
-		t.Run(fmt.Sprintf("%d VMs", size), func(t *testing.T) {
-			t.Parallel()
-			f := newSimFleet(t, size, 10*size)
-			f.run(700 * time.Millisecond)
-			f.configure()
-			took := f.runUntil(20*time.Second, isConfigured(f))
-			t.Logf("declarations in force after %v", took)
-			assert.LessOrEqual(t, took, drainBound)
-			took += f.runUntil(20*time.Second, func(v *simVM) bool { return len(v.scheduler.Replicas()) == len(f.replicas) })
-			reads := 0
-			for _, v := range f.vms {
-				reads += v.listReads
-			}
-			t.Logf("the list is known after %v, %d reads", took, reads)
-			assert.LessOrEqual(t, took, drainBound)
-		})
-	}
-}
-
-// TestListIsReadIfNobodyPassesItOn guards against VMs that wait for the list of replicas from a reader that cannot read it.
-func TestListIsReadIfNobodyPassesItOn(t *testing.T) {
-	t.Parallel()
-	f := newSimFleet(t, 30, 30)
-	for n := 1; n <= 3; n++ {
-		f.byName[fmt.Sprintf("vm-b-north-1-%d", n)].cutFromStore = true
-	}
-	took := f.runUntil(20*time.Second, func(v *simVM) bool { return v.cutFromStore || len(v.scheduler.Replicas()) == 30 })
-	t.Logf("the list is known after %v", took)
-	assert.LessOrEqual(t, took, drainBound)
-}
