--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -51,9 +51,9 @@
 }
 
 // newConfigSource returns the source that is set in cfg, and a function that closes it.
-func newConfigSource(cfg settings.Settings, log *zap.Logger) (configSource, func(), error) {
+func newConfigSource(cfg settings.Settings, log *zap.Logger, gatewayMetrics *metrics.Gateway) (configSource, func(), error) {
 	if cfg.Gateway.Store != "" {
-		src, closeStore := newStoreSource(cfg, log)
+		src, closeStore := newStoreSource(cfg, log, gatewayMetrics)
 		return src, closeStore, nil
 	}
 	src, err := newFileSource(cfg, log)
@@ -68,7 +68,7 @@
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(cfg.Gateway.Memory) * (1 << 20)))
 	}
 	self := peer.Identity{VM: cfg.VM, Incarnation: uuid.NewString()[:8]}
-	src, closeSource, err := newConfigSource(cfg, log)
+	src, closeSource, err := newConfigSource(cfg, log, gatewayMetrics)
 	if err != nil {
 		return err
 	}
--- a/app/store_source.go
+++ b/app/store_source.go
@@ -12,6 +12,7 @@
 	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/follow"
 	"github.com/cassiabridge/cassiabridge/gateway"
+	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/platform"
 	"github.com/cassiabridge/cassiabridge/settings"
 )
@@ -30,11 +31,13 @@
 )
 
 // newStoreSource returns a configSource that follows the platform's metadata store, and a function that closes it.
-func newStoreSource(cfg settings.Settings, log *zap.Logger) (configSource, func()) {
+func newStoreSource(cfg settings.Settings, log *zap.Logger, gatewayMetrics *metrics.Gateway) (configSource, func()) {
 	client, closeClient := exchange.NewClient(exchange.WithDialTimeout(storeDialTimeout))
 	syncer := newStoreSyncer(cfg, log)
 	eras := follow.NewEraTracker(log, syncer.refreshAll)
-	syncer.eras, syncer.store = eras, platform.NewStore(client, cfg.Gateway.Store, eras.Observe)
+	syncer.eras, syncer.store = eras, platform.NewStore(client, cfg.Gateway.Store, eras.Observe, platform.WithTrafficObserver(func(topic string, bytes int) {
+		gatewayMetrics.StoreBytes.WithLabelValues(topic).Add(float64(bytes))
+	}))
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas),
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -58,8 +58,8 @@
 	// History holds the connections that earlier tries of the same request have used, which this one does not reuse. Nil
 	// means that there were none.
 	History *History
-	// OnRead is called whenever a part of the response body has been read. It may be nil.
-	OnRead func()
+	// OnRead is called with the number of bytes whenever a part of the response body has been read. It may be nil.
+	OnRead func(bytes int)
 	// AcceptResponse reports whether a response with this header belongs to the request. Nil accepts every response.
 	AcceptResponse func(http.Header) bool
 }
@@ -82,7 +82,7 @@
 	sawEOF    bool
 	keepAlive bool
 	closed    bool
-	onRead    func()
+	onRead    func(bytes int)
 	// cause replaces an error of the connection by the cancellation cause of the request's context, if it is done.
 	cause func(error) error
 }
@@ -334,7 +334,7 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if n > 0 && r.onRead != nil {
-		r.onRead()
+		r.onRead(n)
 	}
 	if err == io.EOF {
 		r.sawEOF = true
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -40,6 +40,8 @@
 	// for the goroutine that owns the control state, in seconds.
 	PeerBytes  *prometheus.CounterVec
 	EventDelay prometheus.Histogram
+	// StoreBytes counts the bytes of the store's answers by topic, also of those that were given up.
+	StoreBytes *prometheus.CounterVec
 	// LogLinesDropped counts log lines that were dropped.
 	LogLinesDropped prometheus.Counter
 }
@@ -65,9 +67,10 @@
 		BusyRefusals:        newCounterVec("busy_refusals_total", "Calls turned away since all upstreams were busy.", "pool", "priority"),
 		PeerBytes:           newCounterVec("peer_bytes_total", "Bytes of beacons and summaries.", "direction", "scope"),
 		EventDelay:          prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "event_delay_seconds", Help: "Time for which events of the control state waited.", Buckets: prometheus.ExponentialBuckets(0.0001, 4, 9)}),
+		StoreBytes:          newCounterVec("store_read_bytes_total", "Bytes of the store's answers.", "topic"),
 		LogLinesDropped:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that were left out."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures,
-		m.Connections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.PeerBytes, m.EventDelay, m.LogLinesDropped)
+		m.Connections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.PeerBytes, m.EventDelay, m.StoreBytes, m.LogLinesDropped)
 	return m
 }
