--- a/gateway/fleet_scale_test.go
+++ b/gateway/fleet_scale_test.go
@@ -139,6 +139,34 @@
 	}
 }
 
+// TestReadersOfTheListFillTheLinkToTheStore guards against a link between regions that is full of what thousands of replicas write
+// to the store again and again, read by many VMs, so that declarations and leaving replicas are known late.
+func TestReadersOfTheListFillTheLinkToTheStore(t *testing.T) {
+	t.Parallel()
+	for _, size := range simSizes {
+		t.Run(fmt.Sprintf("%d VMs", size), func(t *testing.T) {
+			t.Parallel()
+			f := newSimFleet(t, size, 10*size)
+			f.churn(100 * time.Millisecond)
+			f.run(5 * time.Second)
+			const period = 5 * time.Second
+			f.resetTraffic()
+			f.run(period)
+			crossed := float64(f.between[simNorth].bytes) / period.Seconds()
+			t.Logf("%.0f kB/s from the store's region", crossed/1000)
+			assert.LessOrEqual(t, crossed, simRegionBytesPerSecond/2, "half of the link is for requests")
+			f.configure()
+			took := f.runUntil(20*time.Second, isConfigured(f))
+			t.Logf("declarations in force after %v", took)
+			assert.LessOrEqual(t, took, configTarget)
+			id := f.leave(f.leaves).ID
+			took = f.runUntil(20*time.Second, knowsLeaving(id))
+			t.Logf("a leaving replica is known after %v", took)
+			assert.LessOrEqual(t, took, drainBound)
+		})
+	}
+}
+
 // TestListIsReadIfNobodyPassesItOn guards against VMs that wait for the list of replicas from a reader that cannot read it.
 func TestListIsReadIfNobodyPassesItOn(t *testing.T) {
 	t.Parallel()
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -28,8 +28,12 @@
 	// simMaxLinkWait is the time that a datagram may wait at a link before it is dropped.
 	simMaxLinkWait = time.Second
 	// simEntryBytes is the size of an entry of the list of replicas, simConfigSize that of the declarations.
-	simEntryBytes = 190
+	simEntryBytes = 230
 	simConfigSize = 20_000
+	// simCallTimeout is how long a VM waits for an answer of the store that does not come.
+	simCallTimeout = 1500 * time.Millisecond
+	// simRewriteInterval is how often each replica writes its entry again, without a change of the list.
+	simRewriteInterval = 1200 * time.Millisecond
 )
 
 // simVM is one VM of a simFleet.
@@ -48,7 +52,9 @@
 	listNext     uint64
 	listSnapshot bool
 	listReads    int
-	configRead   uint64
+	// reading is whether a read of the list is in flight, and readAgain whether another one has been asked for meanwhile.
+	reading, readAgain bool
+	configRead         uint64
 }
 
 // simFleet runs the control state of VMs in simulated time, with links of limited rate and a store.
@@ -255,26 +261,39 @@
 }
 
 // endOffset is the offset after the last record of the list of replicas.
-func (f *simFleet) endOffset() uint64 { return uint64(len(f.replicas) + len(f.changes)) }
+func (f *simFleet) endOffset() uint64 {
+	rewrites := f.now.Sub(f.start).Seconds() / simRewriteInterval.Seconds() * float64(len(f.replicas))
+	return uint64(len(f.replicas)+len(f.changes)) + uint64(rewrites)
+}
 
-// answer sends an answer of the store to a VM, after the way there and back.
-func (f *simFleet) answer(v *simVM, size func() int, apply func()) {
+// answer sends an answer of the store to a VM, after the way there and back. A VM that is cut off from the store gives up after
+// simCallTimeout.
+func (f *simFleet) answer(v *simVM, size func() int, apply, giveUp func()) {
+	timeOut := f.now.Add(simCallTimeout)
 	if v.cutFromStore {
+		f.onVM(v, timeOut, giveUp)
 		return
 	}
 	asked, _ := f.transfer(&v.up, nil, v.region, simNorth, 200, false)
 	f.at(asked.Add(simStoreTime), func() {
 		at, _ := f.transfer(nil, &v.down, simNorth, v.region, size(), false)
 		f.onVM(v, at, func() {
-			if !v.cutFromStore {
-				apply()
+			if v.cutFromStore {
+				f.onVM(v, later(f.now, timeOut), giveUp)
+				return
 			}
+			apply()
 		})
 	})
 }
 
-// readList lets a VM read the list of replicas.
+// readList lets a VM read the list of replicas, after the read that is in flight if there is one.
 func (f *simFleet) readList(v *simVM) {
+	if v.reading {
+		v.readAgain = true
+		return
+	}
+	v.reading = true
 	var update ReplicaUpdate
 	f.answer(v, func() int {
 		v.listReads++
@@ -295,7 +314,17 @@
 		v.listSnapshot, f.listReadAt = true, f.now
 		v.listNext = max(v.listNext, update.Next)
 		v.applyReplicas(f.now, update)
-	})
+		f.endRead(v)
+	}, func() { f.endRead(v) })
+}
+
+// endRead ends a read of the list, and begins the next one if it has been asked for.
+func (f *simFleet) endRead(v *simVM) {
+	again := v.readAgain
+	v.reading, v.readAgain = false, false
+	if again {
+		f.readList(v)
+	}
 }
 
 func (f *simFleet) readConfig(v *simVM) {
@@ -306,7 +335,7 @@
 	}, func() {
 		v.configRead = max(v.configRead, d.Version)
 		v.SetDeclarations(d)
-	})
+	}, func() {})
 }
 
 // check answers whether there are newer declarations.
@@ -321,7 +350,7 @@
 		if version > v.configRead {
 			f.readConfig(v)
 		}
-	})
+	}, func() {})
 }
 
 // configure writes new declarations. The waiting reads of all VMs are answered.
@@ -342,6 +371,20 @@
 	return replica
 }
 
+// churn has one replica after another write a changed entry, at an interval.
+func (f *simFleet) churn(interval time.Duration) {
+	n := 0
+	var change func()
+	change = func() {
+		n = (n + 1) % len(f.replicas)
+		offset := f.endOffset()
+		f.replicas[n].Slots++
+		f.changes[offset] = f.replicas[n]
+		f.at(f.now.Add(interval), change)
+	}
+	f.at(f.now, change)
+}
+
 func (f *simFleet) freeze(v *simVM) { v.frozen = true }
 
 func (f *simFleet) thaw(v *simVM) {
