gateway, follow, app: one VM near the store reads the list of replicas for all groups

Cause: each change of the list made the reader of each of 24 groups read all that replicas had appended meanwhile, 12 of them across the link between regions, and the first by name, which reads for all, stood there too. A lost datagram, or a page that came late, made a whole group do the same; what was given up filled the link for nothing. Ruled out: summaries between groups, 0.6 MB a second. Change: VMs tell how far they are from the store. The closest one reads the list for all and tells the readers of the groups, and they tell their groups. Each change is told twice; a VM that has heard of a change and lacks it asks for what follows its position, and reads the store only if nobody answers. Whole lists are sent one after the other. A VM whose reads fail yields, and take-overs of other groups are spread.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -37,14 +37,13 @@
 	client, closeClient := exchange.NewClient(exchange.WithDialTimeout(storeDialTimeout))
 	syncer := newStoreSyncer(cfg, log)
 	eras := follow.NewEraTracker(log, syncer.refreshAll)
-	syncer.eras, syncer.store = eras, platform.NewStore(client, cfg.Gateway.Store, eras.Observe, platform.WithTrafficObserver(func(topic string, bytes int) {
-		gatewayMetrics.StoreBytes.WithLabelValues(topic).Add(float64(bytes))
-	}))
+	observeTraffic := func(topic string, bytes int) { gatewayMetrics.StoreBytes.WithLabelValues(topic).Add(float64(bytes)) }
+	syncer.eras, syncer.store = eras, platform.NewStore(client, cfg.Gateway.Store, eras.Observe, platform.WithTrafficObserver(observeTraffic), platform.WithDelayObserver(syncer.fastestCall.record))
 	return configSource{
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas),
 			gateway.WithDeclarationsCheck(syncer.checkDeclarations),
-			gateway.WithSharedStore(cfg.Listen.Peers, syncer.refreshCopy), gateway.WithListFeed(syncer.advanceReplicas)},
+			gateway.WithSharedStore(cfg.Listen.Peers, syncer.refreshCopy), gateway.WithListFeed(syncer.advanceReplicas), gateway.WithStoreDelay(syncer.fastestCall.get)},
 		reload: func(*gateway.Controller) error { return nil },
 	}, closeClient
 }
@@ -67,6 +66,8 @@
 	// vmsRefresh and copyRefresh trigger a read of the list of VMs and of the backup copy.
 	vmsRefresh  chan struct{}
 	copyRefresh chan struct{}
+	// fastestCall is the time that the store's fastest answer has taken.
+	fastestCall minDuration
 	// replicas follows the list of replicas, or is nil before that begins.
 	replicas atomic.Pointer[follow.Follower]
 }
@@ -116,7 +117,7 @@
 	}, follow.WithWait(declarationsPollTimeout), follow.WithWakeups(s.declarationsRefresh))
 	replicas := newFollower(platform.TopicReplicas, func(b follow.Batch) {
 		control.ApplyReplicas(gateway.NewReplicaUpdate(b, platform.DecodeReplica))
-	}, follow.WithInterval(replicasReadInterval), follow.WithWakeups(s.replicasRefresh), follow.WithFirstReadOnWakeup())
+	}, follow.WithInterval(replicasReadInterval), follow.WithWakeups(s.replicasRefresh), follow.WithFirstReadOnWakeup(), follow.WithAvailabilityObserver(control.SetStoreReachable))
 	s.replicas.Store(replicas)
 	vms := newFollower(platform.TopicVMs, func(b follow.Batch) {
 		control.ApplyVMRecords(b)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -89,8 +89,10 @@
 	wait      time.Duration
 	interval  time.Duration
 	log       *zap.Logger
-	now       func() time.Time
-	wakeups   <-chan struct{}
+	// observe is told whenever the topic becomes available or unavailable.
+	observe func(available bool)
+	now     func() time.Time
+	wakeups <-chan struct{}
 	// waitFirst is whether the first read waits for a wakeup.
 	waitFirst bool
 	// advanced is the position of Advance that has not been taken over yet.
@@ -135,12 +137,17 @@
 // WithFirstReadOnWakeup makes the first read wait for a wakeup: the content of the topic may come from elsewhere.
 func WithFirstReadOnWakeup() Option { return func(f *Follower) { f.waitFirst = true } }
 
+// WithAvailabilityObserver sets a function that is told when a read has failed after one that was answered, and the other way round.
+func WithAvailabilityObserver(observe func(available bool)) Option {
+	return func(f *Follower) { f.observe = observe }
+}
+
 // WithLogger sets the logger for outages of the store and for expired records.
 func WithLogger(log *zap.Logger) Option { return func(f *Follower) { f.log = log } }
 
 // New returns a Follower that calls apply with each batch it reads.
 func New(topic Topic, apply func(Batch), opts ...Option) *Follower {
-	f := &Follower{topic: topic, apply: apply, isExpired: func(error) bool { return false }, log: zap.NewNop(), now: time.Now}
+	f := &Follower{topic: topic, apply: apply, isExpired: func(error) bool { return false }, log: zap.NewNop(), observe: func(bool) {}, now: time.Now}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -276,6 +283,7 @@
 	now := f.now()
 	if f.unavailable {
 		batch.Outage = now.Sub(f.lastSuccess)
+		f.observe(true)
 		f.log.Info("store-regained", zap.String("Topic", f.topic.Name), zap.Duration("Outage", batch.Outage))
 	}
 	f.unavailable, f.lastSuccess = false, now
@@ -289,6 +297,7 @@
 		return
 	}
 	f.unavailable = true
+	f.observe(false)
 	f.log.Warn("store-lost", zap.String("Topic", f.topic.Name), zap.Duration("LastAnswer", f.now().Sub(f.lastSuccess)), zap.Error(err))
 }
 
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -36,6 +36,9 @@
 	case peer.ScopeList:
 		c.handleListPage(b)
 		return
+	case peer.ScopeListRequest:
+		c.handleListRequest(b)
+		return
 	default:
 		c.handleSummary(b)
 		return
@@ -53,7 +56,7 @@
 	afterSilence := p.silent && p.incarnation == b.Incarnation
 	c.recordHeard(now, p, b)
 	c.recordGroupMate(now, p, b)
-	c.feedIfWithoutList(now, b)
+	c.feedIfWithoutList(b)
 	c.quotas.ApplyPeerSpent(now, processRun(b.VM, b.Incarnation), b.SpentTokens, afterSilence)
 	c.scheduler.SetPeerUnreachable(now, b.VM, b.UnreachableReplicas)
 	c.applyHints(now, b)
@@ -93,8 +96,8 @@
 	case p.silent && !p.lastBeaconAt.IsZero():
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.lastBeaconAt)))
 	}
-	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.lastBeaconAt.IsZero() || !c.catchUp.done
-	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving, p.version, p.vmCount = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version, b.VMCount
+	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.storeDistance != b.StoreDistance || p.lastBeaconAt.IsZero() || !c.catchUp.done
+	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving, p.version, p.vmCount, p.storeDistance = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version, b.VMCount, b.StoreDistance
 }
 
 // recordPeerStart records the first beacon of a process.
@@ -153,7 +156,7 @@
 // newBeacon returns a beacon with the state of this VM.
 func (c *Controller) newBeacon(now time.Time) peer.Beacon {
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: c.version(), VMCount: c.vmCount(),
-		Leaving: c.leaving.Load(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
+		Leaving: c.leaving.Load(), StoreDistance: c.storeDistance(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
 		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
 		ListAge: c.listSchedule.age(now), ListEra: c.listSchedule.changed.era, ListOffset: c.listSchedule.changed.offset, ListNext: c.listNext(), ListDigest: c.replicas.digest.total,
 		CheckAge: c.declarationChecks.age(now), ColdReplicas: c.cold.Remaining(now), ServiceLoads: c.scheduler.OwnServiceLoads(now), ServiceCalls: maps.Clone(c.scheduler.OwnCalls()), EvacuationsEra: c.zones.changed.era, EvacuationsOffset: c.zones.changed.offset}
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -48,6 +48,10 @@
 	readList            func()
 	// advanceList is told up to where the list of replicas has become known from a peer, or nil.
 	advanceList func(offset, era uint64)
+	// storeDelay returns how long the fastest call to the store has taken, or 0.
+	storeDelay func() time.Duration
+	// storeLost is whether the last read of the list of replicas has failed. Only the control goroutine accesses it.
+	storeLost bool
 	// checkDeclarations triggers a check of the store for newer declarations.
 	checkDeclarations func()
 	// readCopy triggers a read of the backup copy.
@@ -125,8 +129,8 @@
 	cold := quota.NewColdLimits(self.VM, defaultColdTolerance)
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
-		refreshDeclarations: func() {}, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
-		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: listFeed{wholeAt: map[string]time.Time{}}, limits: limits, cold: cold, invalidHeaders: map[string]string{},
+		refreshDeclarations: func() {}, storeDelay: func() time.Duration { return 0 }, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
+		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
@@ -161,6 +165,8 @@
 	c.expireDoubtfulReplicas(now)
 	c.updatePeersIfDue(now)
 	c.readListIfDue(now)
+	c.requestListIfDue(now)
+	c.sendWholeListIfDue(now)
 	c.checkDeclarationsIfDue(now)
 	c.sendBeaconIfDue(now)
 	return c.nextWake(now)
@@ -168,7 +174,7 @@
 
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
-	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.declarationsCheckDueIn(now))
+	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.feed.wholeLists.dueIn(now), c.declarationsCheckDueIn(now))
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
 	}
--- a/gateway/fleet_scale_test.go
+++ b/gateway/fleet_scale_test.go
@@ -180,6 +180,64 @@
 	}
 }
 
+// TestFarVMsLeaveTheListToThoseNearTheStore guards against a reader of the list for all that stands behind the link between regions.
+func TestFarVMsLeaveTheListToThoseNearTheStore(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 79, 790)
+	f.churn(100 * time.Millisecond)
+	f.run(10 * time.Second)
+	for _, v := range f.vms {
+		if v.region == simSouth {
+			assert.LessOrEqual(t, v.listReads, 1, v.self.VM)
+		}
+	}
+}
+
+// TestVMWithoutAnswersOfTheStoreReadsForAll guards against a reader for all that stays so while it gets no answers.
+func TestVMWithoutAnswersOfTheStoreReadsForAll(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 30, 30)
+	f.run(3 * time.Second)
+	reader, next := f.byName["vm-b-north-1-1"], f.byName["vm-b-north-1-2"]
+	assert.True(t, reader.readsForFleet())
+	reader.cutFromStore = true
+	f.run(drainBound)
+	assert.False(t, reader.readsForFleet())
+	assert.True(t, next.readsForFleet())
+	reader.cutFromStore = false
+	f.run(drainBound)
+	assert.True(t, reader.readsForFleet(), "once it gets answers again")
+}
+
+// TestVMsReadTheListThatALostDatagramHeld guards against VMs that each read from the store, with all that replicas have rewritten,
+// what a lost datagram would have told them.
+func TestVMsReadTheListThatALostDatagramHeld(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 79, 790)
+	f.loss = 0.2
+	f.churn(100 * time.Millisecond)
+	f.run(5 * time.Second)
+	reads := func() (total, byReader int) {
+		for _, v := range f.vms {
+			total += v.listReads
+			byReader = max(byReader, v.listReads)
+		}
+		return total, byReader
+	}
+	before, _ := reads()
+	for range 10 {
+		id := f.leave(f.leaves).ID
+		f.leaves++
+		took := f.runUntil(2*drainBound, knowsLeaving(id))
+		t.Logf("in force after %v", took)
+		assert.LessOrEqual(t, took, drainBound)
+		f.run(time.Second)
+	}
+	after, byReader := reads()
+	t.Logf("%d reads, %d by one VM", after-before, byReader)
+	assert.LessOrEqual(t, after-before, 2*byReader, "one VM reads for all")
+}
+
 // TestListIsReadIfNobodyPassesItOn guards against VMs that wait for the list of replicas from a reader that cannot read it.
 func TestListIsReadIfNobodyPassesItOn(t *testing.T) {
 	t.Parallel()
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -32,6 +33,8 @@
 	simConfigSize = 20_000
 	// simCallTimeout is how long a VM waits for an answer of the store that does not come.
 	simCallTimeout = 1500 * time.Millisecond
+	// simRetryDelay is the pause before a failed read is tried again.
+	simRetryDelay = 700 * time.Millisecond
 	// simRewriteInterval is how often each replica writes its entry again, without a change of the list.
 	simRewriteInterval = 1200 * time.Millisecond
 )
@@ -78,6 +81,9 @@
 	// tooYoung holds messages by which that was later.
 	listReadAt, checkedAt time.Time
 	tooYoung              []string
+	// loss is the share of datagrams that are lost, and random decides which.
+	loss   float64
+	random *rand.Rand
 }
 
 const (
@@ -89,7 +95,7 @@
 func newSimFleet(t testing.TB, vms, replicas int) *simFleet {
 	t.Helper()
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	f := &simFleet{t: t, now: begin, start: begin, byName: map[string]*simVM{}, byAddr: map[netip.AddrPort]*simVM{}, changes: map[uint64]placement.Replica{},
+	f := &simFleet{random: rand.New(rand.NewPCG(1, 2)), t: t, now: begin, start: begin, byName: map[string]*simVM{}, byAddr: map[netip.AddrPort]*simVM{}, changes: map[uint64]placement.Replica{},
 		between: map[string]*simLink{simNorth: {rate: simRegionBytesPerSecond}, simSouth: {rate: simRegionBytesPerSecond}}}
 	zones := []string{"a-south-1", "a-south-2", "a-south-3", "b-north-1", "b-north-2", "b-north-3"}
 	regions := map[string]string{}
@@ -135,6 +141,7 @@
 	v.Controller = NewController(peer.Identity{VM: name, Incarnation: "x"}, zone, func(c *Controller) { c.now = func() time.Time { return f.now } }, WithRegions(regions),
 		WithBeaconSender(func(b peer.Beacon, to []*net.UDPAddr) error { return f.sendBeacon(v, b, to) }),
 		WithDeclarationsRefresh(func() { f.readConfig(v) }), WithListReader(func() { f.readList(v) }), WithDeclarationsCheck(func() { f.check(v) }),
+		WithStoreDelay(func() time.Duration { return f.storeDelay(v.region) }),
 		WithListFeed(func(offset, _ uint64) { v.listNext, v.listSnapshot = max(v.listNext, offset), true }))
 	v.Controller.address = addr.String()
 	f.vms = append(f.vms, v)
@@ -243,6 +250,9 @@
 	f.checkAges(v, b)
 	for _, addr := range to {
 		other := f.byAddr[addr.AddrPort()]
+		if f.random.Float64() < f.loss {
+			continue
+		}
 		if at, ok := f.transfer(&v.up, &other.down, v.region, other.region, len(data), true); ok {
 			f.onVM(other, at, func() { other.handleBeacon(b, v.address) })
 		}
@@ -260,6 +270,14 @@
 	}
 }
 
+// storeDelay returns how long a call to the store takes from a region while no link is busy.
+func (f *simFleet) storeDelay(region string) time.Duration {
+	if region == simNorth {
+		return simStoreTime + 2*simZoneDelay
+	}
+	return simStoreTime + 2*(simZoneDelay+simRegionDelay)
+}
+
 // endOffset is the offset after the last record of the list of replicas.
 func (f *simFleet) endOffset() uint64 {
 	rewrites := f.now.Sub(f.start).Seconds() / simRewriteInterval.Seconds() * float64(len(f.replicas))
@@ -315,7 +333,12 @@
 		v.listNext = max(v.listNext, update.Next)
 		v.applyReplicas(f.now, update)
 		f.endRead(v)
-	}, func() { f.endRead(v) })
+		v.SetStoreReachable(true)
+	}, func() {
+		f.endRead(v)
+		v.SetStoreReachable(false)
+		f.onVM(v, f.now.Add(simRetryDelay), func() { f.readList(v) })
+	})
 }
 
 // endRead ends a read of the list, and begins the next one if it has been asked for.
--- a/gateway/fleet_task.go
+++ b/gateway/fleet_task.go
@@ -24,6 +24,8 @@
 	peerRanAt time.Time
 	// rank is the number of VMs that take precedence over this one.
 	rank int
+	// patience is the additional time for which this VM waits before it takes over.
+	patience time.Duration
 }
 
 // recordPeerRun records that a peer completed the task at the given time.
@@ -37,7 +39,7 @@
 	if f.rank == 0 {
 		return f.interval - now.Sub(f.lastOwn())
 	}
-	wait := f.interval + beaconInterval + takeoverMargin + min(time.Duration(f.rank)*takeoverStagger, maxTakeoverStagger)
+	wait := f.interval + beaconInterval + takeoverMargin + min(time.Duration(f.rank)*takeoverStagger, maxTakeoverStagger) + f.patience
 	return wait - now.Sub(later(f.lastOwn(), f.peerRanAt))
 }
 
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -14,32 +15,47 @@
 	// maxPageEntries is the number of entries in one page of the list of replicas: compressed, a datagram holds several times
 	// as many.
 	maxPageEntries = 400
-	// mateListenPeriod is how long a VM that has read the list of VMs listens for its group before it reads the list of replicas.
+	// mateListenPeriod is how long a VM that has read the list of VMs listens for others before it reads the list of replicas, and
+	// farListenPeriod that of one which may be further from the store than others.
 	mateListenPeriod = 450 * time.Millisecond
-	// mateListWait is how long a VM waits for the list of replicas, or a change of it, from the reader of its group.
+	farListenPeriod  = 900 * time.Millisecond
+	// mateListWait is how long a VM waits for a change of the list from its provider before it reads the list itself.
 	mateListWait = 1200 * time.Millisecond
-	// startListWait is the same for the first list, and unknownFleetListWait for a VM that cannot read the list of VMs.
+	// firstReadStagger is the additional wait for the first list for each VM that comes before in the fleet, while none has it.
+	firstReadStagger = 700 * time.Millisecond
+	// startListWait is the same for the first list, knownListWait how much longer that is once another VM has it, and
+	// unknownFleetListWait the wait of a VM that cannot read the list of VMs.
 	startListWait        = 2500 * time.Millisecond
+	knownListWait        = 2 * time.Second
 	unknownFleetListWait = 2 * time.Second
-	// minFeedInterval is the minimum time between two whole lists for the same VM.
-	minFeedInterval = time.Second
 	// listTakeoverStagger is the additional wait for each VM of the group that comes before, up to maxListTakeover: reads of a
 	// whole group at once would fill a link.
 	listTakeoverStagger = 300 * time.Millisecond
 	maxListTakeover     = 1200 * time.Millisecond
+	// maxListHistory bounds the number of replicas whose last change is remembered.
+	maxListHistory = 8192
 )
 
-// listFeed passes what the reader of a group has read of the list of replicas on to the group. If each VM read it by itself, the
-// answers for thousands of replicas would fill the link between regions whenever the VMs start.
+// listFeed passes what one VM has read of the list of replicas on to all others: the reader of the fleet tells the readers of the
+// groups, and they tell their groups. Replicas append their entries all the time, and if each VM read that by itself, it would fill
+// the link between regions.
 type listFeed struct {
-	// fedTo is the position up to which this VM has told its group of changes.
-	fedTo listPosition
-	// wholeAt is when a VM was last sent the whole list, by name.
-	wholeAt map[string]time.Time
-	// pages holds the pages of a list that is being received.
-	pages []*peer.ListPage
-	// listens is when this VM began to listen for its group, before it has a list.
-	listens time.Time
+	// changedAt holds the offset of the last change of each replica since the position complete, by ID.
+	changedAt map[string]uint64
+	complete  listPosition
+	// pushedTo is the position up to which the receivers have been told of changes, and pushedBefore the one before that. Each
+	// change is told twice, since a datagram may be lost.
+	pushedTo, pushedBefore listPosition
+	wholeLists             wholeLists
+	// pages holds the pages of lists that are being received, by sender.
+	pages map[string][]*peer.ListPage
+	// listens is when this VM began to listen for others, before it has a list.
+	listens  time.Time
+	requests listRequests
+}
+
+func newListFeed() listFeed {
+	return listFeed{changedAt: map[string]uint64{}, wholeLists: newWholeLists(), pages: map[string][]*peer.ListPage{}}
 }
 
 // WithListFeed sets the function that is told up to which position of the store the list of replicas has become known from another
@@ -48,24 +64,17 @@
 	return func(c *Controller) { c.advanceList = advance }
 }
 
-// feedsList reports whether the VMs of a group pass the list of replicas on.
+// feedsList reports whether the VMs pass the list of replicas on.
 func (c *Controller) feedsList() bool { return c.groups != nil && c.advanceList != nil }
 
-// groupRank returns the number of VMs of the group that take precedence over this one in reading the list of replicas. The one
-// with none, the first by name of those that are heard and stay, is the group's reader.
-func (c *Controller) groupRank() int {
-	rank := 0
-	for _, name := range c.currentGroups().mates {
-		if c.peers[name].takesPrecedence(name, c.self.VM) {
-			rank++
-		}
+// listenPeriod returns how long this VM listens for others before it reads its first list.
+func (c *Controller) listenPeriod() time.Duration {
+	if c.storeDistance() > 0 {
+		return farListenPeriod
 	}
-	return rank
+	return mateListenPeriod
 }
 
-// readsForGroup reports whether this VM is the reader of its group.
-func (c *Controller) readsForGroup() bool { return c.groupRank() == 0 }
-
 // firstListReadDueIn returns the time until this VM reads the list of replicas for the first time.
 func (c *Controller) firstListReadDueIn(now time.Time) time.Duration {
 	if !c.fleetListed {
@@ -74,62 +83,110 @@
 	if c.feed.listens.IsZero() {
 		c.feed.listens = now
 	}
-	if listened := now.Sub(c.feed.listens); listened < mateListenPeriod || c.readsForGroup() {
-		return mateListenPeriod - listened
+	listened := now.Sub(c.feed.listens)
+	if period := c.listenPeriod(); listened < period {
+		return period - listened
 	}
-	return startListWait + c.firstListTakeover() - now.Sub(c.feed.listens)
-}
-
-// firstListTakeover spreads the first reads, of whole lists, of VMs whose reader does not pass the list on.
-func (c *Controller) firstListTakeover() time.Duration {
-	return min(time.Duration(c.groupRank())*listTakeoverStagger, maxListTakeover)
+	wait := startListWait + c.groupTakeoverStagger()
+	if !c.listSchedule.peerRanAt.IsZero() {
+		return wait + knownListWait - listened
+	}
+	return min(wait, c.listenPeriod()+time.Duration(c.listSchedule.rank)*firstReadStagger) - listened
 }
 
-// listReaders returns how many VMs read the list when it has changed: one of each group, or all.
+// listReaders returns how many VMs read the list when it has changed: one, or all.
 func (c *Controller) listReaders() int {
 	if !c.feedsList() {
 		return c.listSchedule.vmCount
 	}
-	return len(c.currentGroups().others) + 1
+	return 1
 }
 
-// listChangeWait returns how long this VM waits for another one of its group to pass on a change of the list.
+// listChangeWait returns how long this VM waits for another one to pass on a change of the list.
 func (c *Controller) listChangeWait() time.Duration {
-	if !c.feedsList() || c.readsForGroup() {
+	if !c.feedsList() || c.readsForFleet() {
 		return 0
 	}
-	return mateListWait + min(time.Duration(c.listSchedule.rank)*takeoverStagger, maxTakeoverStagger)
+	return mateListWait + c.groupTakeoverStagger()
 }
 
-// feedUpdate tells the group of an update that this VM has read from the store, if it is the group's reader.
-func (c *Controller) feedUpdate(now time.Time, update ReplicaUpdate, changed []string) {
-	if !c.feedsList() {
-		return
+// recordChanges keeps which replicas have changed, up to the position that this VM has reached. offsets holds those of their
+// entries. It returns false if what changed before that position is not known: this is the first list, or that of a new era.
+func (f *listFeed) recordChanges(changed []string, offsets map[string]uint64, to listPosition) bool {
+	if f.complete.era != to.era || f.complete.offset == 0 {
+		f.complete = to
+		clear(f.changedAt)
+		return false
+	}
+	if len(f.changedAt) > maxListHistory {
+		f.complete = f.pushedTo
+		maps.DeleteFunc(f.changedAt, func(_ string, offset uint64) bool { return offset < f.pushedTo.offset })
 	}
-	from, to := c.feed.fedTo, listPosition{update.Era, update.Next}
-	c.feed.fedTo = to
-	if !c.readsForGroup() || len(c.groups.mates) == 0 {
+	for _, id := range changed {
+		f.changedAt[id] = to.offset - 1
+		if offset := offsets[id]; offset > 0 {
+			f.changedAt[id] = offset
+		}
+	}
+	return true
+}
+
+// changedSince returns the replicas that have changed from a position on, or false if that is not known.
+func (f *listFeed) changedSince(from listPosition) ([]string, bool) {
+	if from.era != f.complete.era || from.offset < f.complete.offset {
+		return nil, false
+	}
+	var ids []string
+	for id, offset := range f.changedAt {
+		if offset >= from.offset {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids, true
+}
+
+// feedUpdate passes on what this VM has learned of the list, and whether it has read that for all.
+func (c *Controller) feedUpdate(now time.Time, changed []string, offsets map[string]uint64, readForAll bool) {
+	if !c.feedsList() {
 		return
 	}
-	if update.Snapshot || from.era != to.era {
-		c.feedAll(now, c.groups.mates)
+	to := c.listSchedule.next
+	if !c.feed.recordChanges(changed, offsets, to) {
+		c.feed.pushedBefore, c.feed.pushedTo = to, to
+		for _, name := range c.listReceivers(readForAll) {
+			c.queueWholeList(name)
+		}
 		return
 	}
 	if len(changed) == 0 {
-		// What follows tells the group of the whole range.
-		c.feed.fedTo = from
 		return
 	}
+	from := c.feed.pushedBefore
+	c.feed.pushedBefore, c.feed.pushedTo = c.feed.pushedTo, to
+	ids, known := c.feed.changedSince(from)
+	if !known {
+		from = c.feed.complete
+		ids, _ = c.feed.changedSince(from)
+	}
+	if receivers := c.listReceivers(readForAll); len(receivers) > 0 && len(ids) > 0 {
+		c.sendChanges(now, from, ids, receivers)
+	}
+}
+
+// sendChanges sends VMs what has changed of the list from a position on.
+func (c *Controller) sendChanges(now time.Time, from listPosition, ids, receivers []string) {
 	cold := c.cold.Remaining(now)
 	var entries []peer.ListEntry
-	for _, id := range changed {
-		entries = append(entries, c.listEntry(cold, id, update.offsets[id]))
+	for _, id := range ids {
+		entries = append(entries, c.listEntry(cold, id, c.feed.changedAt[id]))
 	}
-	c.sendPages(now, peer.ListPage{Era: to.era, From: from.offset, Next: to.offset}, entries, c.groups.mates)
+	next := c.listSchedule.next
+	c.sendPages(now, peer.ListPage{Era: next.era, From: from.offset, Next: next.offset}, entries, receivers)
 }
 
-// feedAll sends VMs of the group the whole list.
-func (c *Controller) feedAll(now time.Time, names []string) {
+// sendWholeList sends a VM the whole list.
+func (c *Controller) sendWholeList(now time.Time, name string) {
 	cold := c.cold.Remaining(now)
 	var entries []peer.ListEntry
 	for _, replica := range c.scheduler.Replicas() {
@@ -137,11 +194,8 @@
 			entries = append(entries, c.listEntry(cold, replica.ID, 0))
 		}
 	}
-	for _, name := range names {
-		c.feed.wholeAt[name] = now
-	}
 	next := c.listSchedule.next
-	c.sendPages(now, peer.ListPage{Era: next.era, Next: next.offset, Snapshot: true}, entries, names)
+	c.sendPages(now, peer.ListPage{Era: next.era, Next: next.offset, Snapshot: true}, entries, []string{name})
 }
 
 // listEntry returns what this VM knows of a replica. cold holds how much longer replicas are cold.
@@ -154,7 +208,7 @@
 	return peer.ListEntry{Replica: replica, Offset: offset, Born: version.Born, Sequence: version.Sequence, ColdFor: cold[id]}
 }
 
-// sendPages sends entries in pages to VMs of the group.
+// sendPages sends entries in pages to VMs.
 func (c *Controller) sendPages(now time.Time, page peer.ListPage, entries []peer.ListEntry, names []string) {
 	page.Age, page.DoubtFor = now.Sub(c.listSchedule.ranAt), max(0, c.replicas.trustFrom.Sub(now))
 	page.Pages = max(1, (len(entries)+maxPageEntries-1)/maxPageEntries)
@@ -162,11 +216,16 @@
 	for page.Page = 0; page.Page < page.Pages; page.Page++ {
 		p := page
 		p.Entries = entries[page.Page*maxPageEntries : min(len(entries), (page.Page+1)*maxPageEntries)]
-		c.sendSummary(peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Scope: peer.ScopeList, List: &p, ListAge: -time.Millisecond, CheckAge: -time.Millisecond}, to)
+		c.sendSummary(c.newListMessage(peer.ScopeList, &p), to)
 	}
 	c.log.Info("list-passed-on", zap.Int("VMs", len(to)), zap.Int("Entries", len(entries)), zap.Bool("Whole", page.Snapshot), zap.Uint64("From", page.From), zap.Uint64("Next", page.Next))
 }
 
+// newListMessage returns a message about the list that tells nothing else.
+func (c *Controller) newListMessage(scope peer.Scope, page *peer.ListPage) peer.Beacon {
+	return peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Scope: scope, List: page, ListAge: -time.Millisecond, CheckAge: -time.Millisecond}
+}
+
 func (c *Controller) addressesOf(names []string) []peerAddress {
 	var to []peerAddress
 	for _, name := range names {
@@ -175,18 +234,10 @@
 	return to
 }
 
-// feedIfWithoutList sends a VM of the group that has not got a list yet the whole list.
-func (c *Controller) feedIfWithoutList(now time.Time, b peer.Beacon) {
-	if !c.feedsList() || b.ListAge >= 0 || b.Leaving || !c.replicas.everRead || !c.readsForGroup() || now.Sub(c.feed.wholeAt[b.VM]) < minFeedInterval {
-		return
-	}
-	c.feedAll(now, []string{b.VM})
-}
-
 // handleListPage collects the pages of a list, and applies them once all have arrived.
 func (c *Controller) handleListPage(b peer.Beacon) {
 	page := b.List
-	if !c.feedsList() || page == nil || c.peers[b.VM] == nil || !c.isMate(b.VM) {
+	if !c.feedsList() || page == nil || c.peers[b.VM] == nil {
 		return
 	}
 	now := c.now()
@@ -194,19 +245,18 @@
 	if now.Sub(c.stall.endedAt) < stallBacklogPeriod {
 		page.Age += c.stall.period
 	}
-	if len(c.feed.pages) > 0 {
-		if first := c.feed.pages[0]; first.Era != page.Era || first.Next != page.Next || first.From != page.From || first.Snapshot != page.Snapshot || first.Pages != page.Pages {
-			c.feed.pages = nil
-		}
+	pages := c.feed.pages[b.VM]
+	if len(pages) > 0 && !pages[0].SameList(page) {
+		pages = nil
 	}
-	if !slices.ContainsFunc(c.feed.pages, func(p *peer.ListPage) bool { return p.Page == page.Page }) {
-		c.feed.pages = append(c.feed.pages, page)
+	if !slices.ContainsFunc(pages, func(p *peer.ListPage) bool { return p.Page == page.Page }) {
+		pages = append(pages, page)
 	}
-	if len(c.feed.pages) < page.Pages {
+	c.feed.pages[b.VM] = pages
+	if len(pages) < page.Pages {
 		return
 	}
-	pages := c.feed.pages
-	c.feed.pages = nil
+	clear(c.feed.pages)
 	c.applyPages(now, b.VM, pages)
 }
 
@@ -230,10 +280,10 @@
 	if first.DoubtFor > 0 {
 		c.replicas.trustFrom = later(c.replicas.trustFrom, now.Add(first.DoubtFor))
 	}
-	c.applyList(now, now.Add(-first.Age), update)
-	c.feed.fedTo = to
+	changed := c.applyList(now, now.Add(-first.Age), update)
 	c.advanceList(first.Next, first.Era)
 	c.log.Info("list-adopted", zap.String("Peer", from), zap.Int("Entries", len(update.Listed)+len(update.Removed)), zap.Bool("Whole", first.Snapshot), zap.Uint64("Next", first.Next), zap.Duration("Age", first.Age))
+	c.feedUpdate(now, changed, update.offsets, false)
 }
 
 // addEntry adds an entry that another VM has read.
--- /dev/null
+++ b/gateway/list_readers.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// storeDistanceStep is the unit of the distance of a VM from the store: a round trip within a region is shorter.
+	storeDistanceStep = 15 * time.Millisecond
+	// firstTakeovers is the number of VMs, in order of precedence, that may take over from the reader of the list before the
+	// news of it has reached other groups. The others are patient for otherTakeoverPatience longer, and their groups' readers come first.
+	firstTakeovers        = 5
+	otherTakeoverPatience = 600 * time.Millisecond
+	// storeUnreachable is the distance of a VM whose reads of the list fail.
+	storeUnreachable = 1 << 20
+)
+
+// WithStoreDelay sets the function that returns how long the fastest call to the store has taken, or 0 if it is not known. VMs
+// close to the store read it for those that are further away.
+func WithStoreDelay(fastest func() time.Duration) Option {
+	return func(c *Controller) { c.storeDelay = fastest }
+}
+
+// storeDistance returns the distance of this VM from the store, in steps of storeDistanceStep.
+func (c *Controller) storeDistance() int {
+	if c.storeLost {
+		return storeUnreachable
+	}
+	return int(c.storeDelay() / storeDistanceStep)
+}
+
+// SetStoreReachable records whether this VM's last read of the list of replicas was answered. Others take precedence while it was not.
+func (c *Controller) SetStoreReachable(reachable bool) {
+	c.post(func() {
+		c.storeLost, c.peersChanged, c.beacon.dirty = !reachable, true, true
+	})
+}
+
+// precedes reports whether the VM called name comes before another one when one is to act for both: it is closer to the store, or
+// as close and the first by name.
+func precedes(name string, distance int, other string, otherDistance int) bool {
+	return cmp.Or(cmp.Compare(distance, otherDistance), cmp.Compare(name, other)) < 0
+}
+
+// stays reports whether a peer is heard and not leaving, so that it can act for others.
+func (p *peerState) stays() bool { return !p.silent && !p.lastBeaconAt.IsZero() && !p.leaving }
+
+// takesPrecedence reports whether the peer with this name comes before this VM when one VM is to act for all.
+func (c *Controller) takesPrecedence(name string, p *peerState) bool {
+	return p.stays() && precedes(name, p.storeDistance, c.self.VM, c.storeDistance())
+}
+
+// firstOf returns the peer among names that comes first when one is to act for all, or an empty string if none is heard.
+func (c *Controller) firstOf(names []string) string {
+	first := ""
+	for _, name := range names {
+		p := c.peers[name]
+		if p == nil || !p.stays() {
+			continue
+		}
+		if first == "" || precedes(name, p.storeDistance, first, c.peers[first].storeDistance) {
+			first = name
+		}
+	}
+	return first
+}
+
+// groupRank returns the number of VMs of the group that take precedence over this one in reading the list of replicas. The one
+// with none is the group's reader.
+func (c *Controller) groupRank() int {
+	rank := 0
+	for _, name := range c.currentGroups().mates {
+		if c.takesPrecedence(name, c.peers[name]) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// readsForGroup reports whether this VM is the reader of its group.
+func (c *Controller) readsForGroup() bool { return c.groupRank() == 0 }
+
+// readsForFleet reports whether this VM is the one that reads the list of replicas for all groups.
+func (c *Controller) readsForFleet() bool { return c.listSchedule.rank == 0 }
+
+// fleetReader returns the peer that reads the list of replicas for all groups, as far as this VM knows.
+func (c *Controller) fleetReader() string {
+	g := c.currentGroups()
+	candidates := []string{c.firstOf(g.mates)}
+	for _, names := range g.others {
+		candidates = append(candidates, c.firstOf(names))
+	}
+	return c.firstOf(candidates)
+}
+
+// listProvider returns the peer from which this VM gets the list of replicas: the reader of its group, or if that is this VM the
+// one that reads for all.
+func (c *Controller) listProvider() string {
+	if c.readsForGroup() {
+		return c.fleetReader()
+	}
+	return c.firstOf(c.currentGroups().mates)
+}
+
+// listReceivers returns the VMs that this VM tells of changes of the list: its group and the readers of other groups if it has read
+// them for all, and otherwise its group if it is the group's reader.
+func (c *Controller) listReceivers(readForAll bool) []string {
+	g := c.currentGroups()
+	if !readForAll && !c.readsForGroup() {
+		return nil
+	}
+	receivers := slices.Clone(g.mates)
+	if !readForAll {
+		return receivers
+	}
+	for _, names := range g.others {
+		if reader := c.firstOf(names); reader != "" {
+			receivers = append(receivers, reader)
+		}
+	}
+	return receivers
+}
+
+// takeoverPatience returns the additional time for which this VM waits before it reads the list for all in place of others.
+func (c *Controller) takeoverPatience() time.Duration {
+	if !c.feedsList() || c.listSchedule.rank < firstTakeovers {
+		return 0
+	}
+	return otherTakeoverPatience + c.groupTakeoverStagger()
+}
+
+// groupTakeoverStagger spreads what the VMs of a group do if they hear nothing of their reader.
+func (c *Controller) groupTakeoverStagger() time.Duration {
+	return min(time.Duration(c.groupRank())*listTakeoverStagger, maxListTakeover)
+}
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -48,6 +48,8 @@
 	stale     bool
 	staleAt   time.Time
 	staleWait time.Duration
+	// tookOver is whether this VM last read the list since nobody seemed to read it for all.
+	tookOver bool
 	// confirmedAt is when a peer last told that what this VM knows of the list is all there is up to a further position.
 	confirmedAt time.Time
 }
@@ -121,6 +123,7 @@
 		return
 	}
 	c.listSchedule.next.offset, c.listSchedule.confirmedAt = b.ListNext, now
+	c.listSchedule.stale = len(c.replicas.doubtful) > 0
 	c.advanceList(b.ListNext, b.ListEra)
 }
 
@@ -142,6 +145,6 @@
 	if c.listReadDueIn(now) > 0 {
 		return
 	}
-	c.listSchedule.requestedAt = now
+	c.listSchedule.requestedAt, c.listSchedule.tookOver = now, !c.listSchedule.stale
 	c.readList()
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -53,6 +53,8 @@
 	startedTogether bool
 	// vmCount is the number of VMs that it knows, or 0 if it does not know all of them.
 	vmCount int
+	// storeDistance is its distance from the store.
+	storeDistance int
 	// zone is its availability zone, or empty if it is not known.
 	zone string
 	// state is its last beacon, which arrived at stateAt, and startedAt when its process started. They are kept in a fleet that
@@ -144,7 +146,7 @@
 		} else {
 			versions.newest = max(versions.newest, p.version)
 		}
-		if p.takesPrecedence(name, c.self.VM) {
+		if c.takesPrecedence(name, p) {
 			rank++
 		}
 		if since > peerExpiry || p.silent && p.leaving {
@@ -177,7 +179,7 @@
 	c.cold.SetMembers(now, members, c.fleetListed)
 	c.listSchedule.rank, c.listSchedule.vmCount = rank, count+1
 	c.declarationChecks.rank = rank
-	c.listSchedule.readers, c.listSchedule.staleWait = c.listReaders(), c.listChangeWait()
+	c.listSchedule.readers, c.listSchedule.staleWait, c.listSchedule.patience = c.listReaders(), c.listChangeWait(), c.takeoverPatience()
 	c.scheduler.SetVMCount(count + 1)
 	c.updateQuotaShares(now, known, count, silent, startedTogether)
 	if known {
@@ -208,11 +210,6 @@
 	return c.listSchedule.vmCount
 }
 
-// takesPrecedence reports whether the peer with this name comes before the VM self when one VM is to act for all.
-func (p *peerState) takesPrecedence(name, self string) bool {
-	return name < self && !p.silent && !p.lastBeaconAt.IsZero() && !p.leaving
-}
-
 // markSilent drops the loads of a peer from which no beacon has arrived for the duration since.
 func (c *Controller) markSilent(name string, p *peerState, since time.Duration) {
 	p.silent = true
--- a/gateway/summaries.go
+++ b/gateway/summaries.go
@@ -122,11 +122,11 @@
 	own := c.newBeacon(now)
 	c.groups.spentInside.Record(processRun(c.self.VM, c.self.Incarnation), own.SpentTokens)
 	states := []peer.Beacon{own}
-	members := []peer.Member{c.newMember(now, c.self.VM, c.zone, c.leaving.Load(), c.startedAt, c.address)}
+	members := []peer.Member{c.newMember(now, c.self.VM, c.zone, c.leaving.Load(), c.startedAt, c.address, c.storeDistance())}
 	for _, name := range c.groups.mates {
 		if p := c.peers[name]; !p.silent && !p.lastBeaconAt.IsZero() {
 			states = append(states, p.state.Aged(now.Sub(p.stateAt)))
-			members = append(members, c.newMember(now, name, p.zone, p.leaving, p.startedAt, p.address.String()))
+			members = append(members, c.newMember(now, name, p.zone, p.leaving, p.startedAt, p.address.String(), p.storeDistance))
 		}
 	}
 	c.beacon.sequence++
@@ -138,8 +138,8 @@
 	return b
 }
 
-func (c *Controller) newMember(now time.Time, name, zone string, leaving bool, startedAt time.Time, address string) peer.Member {
-	m := peer.Member{VM: name, AvailabilityZone: zone, Leaving: leaving, Uptime: now.Sub(startedAt)}
+func (c *Controller) newMember(now time.Time, name, zone string, leaving bool, startedAt time.Time, address string, storeDistance int) peer.Member {
+	m := peer.Member{VM: name, AvailabilityZone: zone, Leaving: leaving, Uptime: now.Sub(startedAt), StoreDistance: storeDistance}
 	if m.Uptime < introductionPeriod {
 		m.Address = address
 	}
@@ -295,7 +295,7 @@
 			p.silent = true
 			continue
 		}
-		p.silent, p.leaving, p.lastBeaconAt, p.version = false, member.Leaving, state.heardAt, state.version
+		p.silent, p.leaving, p.lastBeaconAt, p.version, p.storeDistance = false, member.Leaving, state.heardAt, state.version, member.StoreDistance
 		p.startedTogether = (member.Uptime - state.heardAt.Sub(c.startedAt)).Abs() <= sameStartTolerance
 	}
 	for group, state := range g.states {
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -28,8 +28,10 @@
 	ScopeVM Scope = ""
 	// ScopeGroup is the scope of a summary of the sender's group, for the VMs of other groups.
 	ScopeGroup Scope = "Group"
-	// ScopeList is the scope of a page of the list of replicas, for VMs of the sender's group.
-	ScopeList Scope = "List"
+	// ScopeList is the scope of a page of the list of replicas, ScopeListRequest that of a VM's request for what it lacks of the
+	// list after ListNext.
+	ScopeList        Scope = "List"
+	ScopeListRequest Scope = "ListRequest"
 )
 
 // Member is a VM of which a summary tells.
@@ -40,6 +42,8 @@
 	Leaving bool
 	// Uptime is the time since its process started.
 	Uptime time.Duration
+	// StoreDistance is that of the VM's beacons.
+	StoreDistance int
 	// Address is the IP address and port that receive its beacons, or empty if it has run for long enough for all to know it.
 	Address string
 }
@@ -68,6 +72,8 @@
 	VMCount int
 	// Leaving reports whether the VM has stopped accepting new requests.
 	Leaving bool
+	// StoreDistance is the round trip of the VM's fastest call to the store, in steps that are longer than one within a region.
+	StoreDistance int
 	// ReplicaLoads is the load of this VM's requests in flight, by replica ID.
 	ReplicaLoads map[string]placement.Load
 	// QueuedTokens is the decode memory that queued requests need, in tokens, by pool.
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -28,6 +28,7 @@
 	Reports         map[string]int            `json:",omitempty"`
 	VMCount         int                       `json:",omitempty"`
 	Leaving         bool                      `json:",omitempty"`
+	StoreDistance   int                       `json:",omitempty"`
 	Loads           map[string][2]int         `json:",omitempty"`
 	Waiting         map[string]int            `json:",omitempty"`
 	Spent           map[string]float64        `json:",omitempty"`
@@ -56,15 +57,16 @@
 	Zone         string `json:"Z"`
 	Leaving      bool   `json:"L,omitempty"`
 	UptimeMillis int64  `json:"U"`
+	Distance     int    `json:"D,omitempty"`
 	Address      string `json:"A,omitempty"`
 }
 
 func newMemberMessage(m Member) memberMessage {
-	return memberMessage{VM: m.VM, Zone: m.AvailabilityZone, Leaving: m.Leaving, UptimeMillis: m.Uptime.Milliseconds(), Address: m.Address}
+	return memberMessage{VM: m.VM, Zone: m.AvailabilityZone, Leaving: m.Leaving, UptimeMillis: m.Uptime.Milliseconds(), Distance: m.StoreDistance, Address: m.Address}
 }
 
 func (m memberMessage) member() Member {
-	return Member{VM: m.VM, AvailabilityZone: m.Zone, Leaving: m.Leaving, Uptime: millis(m.UptimeMillis), Address: m.Address}
+	return Member{VM: m.VM, AvailabilityZone: m.Zone, Leaving: m.Leaving, Uptime: millis(m.UptimeMillis), StoreDistance: m.Distance, Address: m.Address}
 }
 
 // convertAll returns the converted elements, or nil if there are none.
@@ -142,7 +144,7 @@
 func newBeaconMessage(b Beacon) beaconMessage {
 	checked := b.CheckAge.Milliseconds()
 	return beaconMessage{
-		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Zone: b.AvailabilityZone, Scope: b.Scope, Forwarded: b.Forwarded, Members: convertAll(b.Members, newMemberMessage), Reports: b.UnreachableReports, VMCount: b.VMCount, Leaving: b.Leaving,
+		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Zone: b.AvailabilityZone, Scope: b.Scope, Forwarded: b.Forwarded, Members: convertAll(b.Members, newMemberMessage), Reports: b.UnreachableReports, VMCount: b.VMCount, Leaving: b.Leaving, StoreDistance: b.StoreDistance,
 		Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas,
 		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, ListEra: b.ListEra, ListNext: b.ListNext, ListDigest: b.ListDigest, CheckedMillis: &checked,
 		Loads:          mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
@@ -161,7 +163,7 @@
 		checked = *m.CheckedMillis
 	}
 	return Beacon{
-		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving,
+		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving, StoreDistance: m.StoreDistance,
 		QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable,
 		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra, ListNext: m.ListNext, ListDigest: m.ListDigest, CheckAge: millis(checked),
 		ReplicaLoads:   mapValues(m.Loads, func(load [2]int) placement.Load { return placement.Load{Requests: load[0], Tokens: load[1]} }),
--- a/peer/list_page.go
+++ b/peer/list_page.go
@@ -30,6 +30,11 @@
 	Entries  []ListEntry
 }
 
+// SameList reports whether two pages belong to the same list.
+func (p *ListPage) SameList(other *ListPage) bool {
+	return p.Era == other.Era && p.From == other.From && p.Next == other.Next && p.Snapshot == other.Snapshot && p.Pages == other.Pages
+}
+
 // ListEntry is an entry of the list of replicas, or the removal of one.
 type ListEntry struct {
 	Replica placement.Replica
