--- a/gateway/fleet_scale_test.go
+++ b/gateway/fleet_scale_test.go
@@ -180,6 +180,35 @@
 	}
 }
 
+// TestNewReplicasFillTheLinksOfThoseThatTellOfThem guards against VMs whose messages about replicas that all start at once fill
+// their links, are lost, and are asked for again.
+func TestNewReplicasFillTheLinksOfThoseThatTellOfThem(t *testing.T) {
+	t.Parallel()
+	for _, size := range simSizes {
+		t.Run(fmt.Sprintf("%d VMs", size), func(t *testing.T) {
+			t.Parallel()
+			const period = 4 * time.Second
+			f := newSimFleet(t, size, 0)
+			f.run(time.Second)
+			f.startReplicas(10*size, period)
+			f.run(period / 2)
+			f.configure()
+			took := f.runUntil(20*time.Second, isConfigured(f))
+			t.Logf("declarations in force after %v", took)
+			assert.LessOrEqual(t, took, configTarget)
+			f.run(period/2 - took)
+			took = f.runUntil(20*time.Second, func(v *simVM) bool { return len(v.scheduler.Replicas()) == 10*size })
+			t.Logf("all replicas are known %v after the last has started", took)
+			assert.LessOrEqual(t, took, drainBound)
+			busiest, reads := f.busiest(), 0
+			for _, v := range f.vms {
+				reads += v.listReads
+			}
+			t.Logf("%d reads; %s sends and receives most: %d and %d bytes", reads, busiest.self.VM, busiest.up.bytes, busiest.down.bytes)
+		})
+	}
+}
+
 // TestFarVMsLeaveTheListToThoseNearTheStore guards against a reader of the list for all that stands behind the link between regions.
 func TestFarVMsLeaveTheListToThoseNearTheStore(t *testing.T) {
 	t.Parallel()
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -73,8 +74,13 @@
 	between map[string]*simLink
 	// replicas holds the list of replicas, changes the entries that changed it, by offset.
 	replicas []placement.Replica
+	zones    []string
 	changes  map[uint64]placement.Replica
 	config   routing.Declarations
+	// listed is the number of replicas at the start, and rewrites how many entries have been rewritten until rewrittenAt.
+	listed      int
+	rewrites    float64
+	rewrittenAt time.Time
 	// leaves counts the replicas that have left.
 	leaves int
 	// listReadAt and checkedAt are when the store last answered a read of the list, and a check of the declarations, of any VM.
@@ -95,7 +101,7 @@
 func newSimFleet(t testing.TB, vms, replicas int) *simFleet {
 	t.Helper()
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	f := &simFleet{random: rand.New(rand.NewPCG(1, 2)), t: t, now: begin, start: begin, byName: map[string]*simVM{}, byAddr: map[netip.AddrPort]*simVM{}, changes: map[uint64]placement.Replica{},
+	f := &simFleet{random: rand.New(rand.NewPCG(1, 2)), t: t, now: begin, start: begin, listed: replicas, rewrittenAt: begin, byName: map[string]*simVM{}, byAddr: map[netip.AddrPort]*simVM{}, changes: map[uint64]placement.Replica{},
 		between: map[string]*simLink{simNorth: {rate: simRegionBytesPerSecond}, simSouth: {rate: simRegionBytesPerSecond}}}
 	zones := []string{"a-south-1", "a-south-2", "a-south-3", "b-north-1", "b-north-2", "b-north-3"}
 	regions := map[string]string{}
@@ -105,9 +111,9 @@
 			regions[zone] = simSouth
 		}
 	}
-	for n := range replicas {
-		f.replicas = append(f.replicas, placement.Replica{ID: fmt.Sprintf("i-%010x", n), Pool: "p", Address: fmt.Sprintf("10.%d.64.%d:8080", n/200+1, n%200+1), Zone: zones[n%6], Slots: 32,
-			Stage: []placement.Stage{placement.StagePrefill, placement.StageDecode, placement.StageDecode}[n/6%3]})
+	f.zones = zones
+	for range replicas {
+		f.replicas = append(f.replicas, f.newReplica())
 	}
 	var accounts []routing.Account
 	for n := range 16 {
@@ -135,6 +141,24 @@
 	return f
 }
 
+// newReplica returns the next replica.
+func (f *simFleet) newReplica() placement.Replica {
+	n := len(f.replicas)
+	return placement.Replica{ID: fmt.Sprintf("i-%010x", n*7_654_321), Pool: "p", Address: fmt.Sprintf("10.%d.64.%d:8080", n/200+1, n%200+1), Zone: f.zones[n%6], Slots: 32,
+		Stage: []placement.Stage{placement.StagePrefill, placement.StageDecode, placement.StageDecode}[n/6%3]}
+}
+
+// startReplicas has replicas start one after the other within a period.
+func (f *simFleet) startReplicas(count int, period time.Duration) {
+	for n := range count {
+		f.at(f.now.Add(period*time.Duration(n)/time.Duration(count)), func() {
+			replica := f.newReplica()
+			f.changes[f.endOffset()] = replica
+			f.replicas = append(f.replicas, replica)
+		})
+	}
+}
+
 func (f *simFleet) addVM(name, zone string, regions map[string]string) {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(f.vms) / 250), byte(1 + len(f.vms)%250)}), 7500)
 	v := &simVM{zone: zone, region: regions[zone], address: addr, up: simLink{rate: simVMBytesPerSecond}, down: simLink{rate: simVMBytesPerSecond}}
@@ -280,8 +304,9 @@
 
 // endOffset is the offset after the last record of the list of replicas.
 func (f *simFleet) endOffset() uint64 {
-	rewrites := f.now.Sub(f.start).Seconds() / simRewriteInterval.Seconds() * float64(len(f.replicas))
-	return uint64(len(f.replicas)+len(f.changes)) + uint64(rewrites)
+	f.rewrites += f.now.Sub(f.rewrittenAt).Seconds() / simRewriteInterval.Seconds() * float64(len(f.replicas))
+	f.rewrittenAt = f.now
+	return uint64(f.listed+len(f.changes)) + uint64(f.rewrites)
 }
 
 // answer sends an answer of the store to a VM, after the way there and back. A VM that is cut off from the store gives up after
@@ -430,6 +455,11 @@
 	return rates
 }
 
+// busiest returns the VM with the most traffic since resetTraffic.
+func (f *simFleet) busiest() *simVM {
+	return slices.MaxFunc(f.vms, func(a, b *simVM) int { return cmp.Compare(a.up.bytes+a.down.bytes, b.up.bytes+b.down.bytes) })
+}
+
 func (f *simFleet) resetTraffic() {
 	for _, v := range f.vms {
 		v.up.bytes, v.down.bytes = 0, 0
