gateway: the list of replicas is passed on in a tree, and not faster than links carry it

Cause: the VM that reads for all told 35 VMs of each change twice, and answered each request at once; readers of groups did the same for their groups, on links of 1.25 MB a second. What was lost was asked for again. Change: a VM tells at most four VMs of its group and four readers of other groups, five times a second at most, few changes twice and many once; requests wait in a queue that keeps to 1 MB a second.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -168,7 +168,8 @@
 	c.updatePeersIfDue(now)
 	c.readListIfDue(now)
 	c.requestListIfDue(now)
-	c.sendWholeListIfDue(now)
+	c.pushListIfDue(now)
+	c.answerListRequestIfDue(now)
 	c.checkDeclarationsIfDue(now)
 	c.sendBeaconIfDue(now)
 	return c.nextWake(now)
@@ -176,7 +177,7 @@
 
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
-	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.feed.wholeLists.dueIn(now), c.declarationsCheckDueIn(now))
+	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.pushDueIn(now), c.feed.queue.dueIn(now), c.declarationsCheckDueIn(now))
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
 	}
--- a/gateway/fleet_scale_test.go
+++ b/gateway/fleet_scale_test.go
@@ -190,6 +190,7 @@
 			const period = 4 * time.Second
 			f := newSimFleet(t, size, 0)
 			f.run(time.Second)
+			f.resetTraffic()
 			f.startReplicas(10*size, period)
 			f.run(period / 2)
 			f.configure()
@@ -200,11 +201,19 @@
 			took = f.runUntil(20*time.Second, func(v *simVM) bool { return len(v.scheduler.Replicas()) == 10*size })
 			t.Logf("all replicas are known %v after the last has started", took)
 			assert.LessOrEqual(t, took, drainBound)
-			busiest, reads := f.busiest(), 0
+			reads := 0
 			for _, v := range f.vms {
 				reads += v.listReads
 			}
-			t.Logf("%d reads; %s sends and receives most: %d and %d bytes", reads, busiest.self.VM, busiest.up.bytes, busiest.down.bytes)
+			rates := f.traffic(period + took)
+			middle, busiest := rates[len(rates)/2], rates[len(rates)-1]
+			sent := 0
+			for _, v := range f.vms {
+				sent = max(sent, v.up.bytes)
+			}
+			sentRate := float64(sent) / (period + took).Seconds()
+			t.Logf("%d reads; %.0f kB/s in the middle, %.0f at the busiest; at most %.0f kB/s sent", reads, middle/1000, busiest/1000, sentRate/1000)
+			assert.LessOrEqual(t, sentRate, simVMBytesPerSecond/2.0, "half of the link is for requests")
 		})
 	}
 }
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -455,11 +454,6 @@
 	return rates
 }
 
-// busiest returns the VM with the most traffic since resetTraffic.
-func (f *simFleet) busiest() *simVM {
-	return slices.MaxFunc(f.vms, func(a, b *simVM) int { return cmp.Compare(a.up.bytes+a.down.bytes, b.up.bytes+b.down.bytes) })
-}
-
 func (f *simFleet) resetTraffic() {
 	for _, v := range f.vms {
 		v.up.bytes, v.down.bytes = 0, 0
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -32,6 +32,10 @@
 	// whole group at once would fill a link.
 	listTakeoverStagger = 300 * time.Millisecond
 	maxListTakeover     = 1200 * time.Millisecond
+	// pushInterval is the minimum time between two messages about changes to the same VMs, and maxRepeatedChanges the number of
+	// changes up to which those of the last message are told again.
+	pushInterval       = 200 * time.Millisecond
+	maxRepeatedChanges = 64
 	// maxListHistory bounds the number of replicas whose last change is remembered.
 	maxListHistory = 8192
 )
@@ -43,10 +47,14 @@
 	// changedAt holds the offset of the last change of each replica since the position complete, by ID.
 	changedAt map[string]uint64
 	complete  listPosition
-	// pushedTo is the position up to which the receivers have been told of changes, and pushedBefore the one before that. Each
-	// change is told twice, since a datagram may be lost.
+	// pushedTo is the position up to which the receivers have been told of changes, at pushedAt, and pushedBefore the one before
+	// that. A few changes are told twice, since a datagram may be lost.
 	pushedTo, pushedBefore listPosition
-	wholeLists             wholeLists
+	pushedAt               time.Time
+	// pushPending is whether there are changes to tell, and tookOver whether this VM has read them in place of the VM that reads for
+	// all.
+	pushPending, tookOver bool
+	queue                 listQueue
 	// pages holds the pages of lists that are being received, by sender.
 	pages map[string][]*peer.ListPage
 	// listens is when this VM began to listen for others, before it has a list.
@@ -55,7 +63,7 @@
 }
 
 func newListFeed() listFeed {
-	return listFeed{changedAt: map[string]uint64{}, wholeLists: newWholeLists(), pages: map[string][]*peer.ListPage{}}
+	return listFeed{changedAt: map[string]uint64{}, queue: newListQueue(), pages: map[string][]*peer.ListPage{}}
 }
 
 // WithListFeed sets the function that is told up to which position of the store the list of replicas has become known from another
@@ -146,30 +154,48 @@
 	return ids, true
 }
 
-// feedUpdate passes on what this VM has learned of the list, and whether it has read that for all.
-func (c *Controller) feedUpdate(now time.Time, changed []string, offsets map[string]uint64, readForAll bool) {
+// feedUpdate passes on what this VM has learned of the list. tookOver is whether it has read that in place of the VM that reads for
+// all.
+func (c *Controller) feedUpdate(now time.Time, changed []string, offsets map[string]uint64, tookOver bool) {
 	if !c.feedsList() {
 		return
 	}
 	to := c.listSchedule.next
 	if !c.feed.recordChanges(changed, offsets, to) {
 		c.feed.pushedBefore, c.feed.pushedTo = to, to
-		for _, name := range c.listReceivers(readForAll) {
-			c.queueWholeList(name)
+		for _, name := range c.listReceivers(tookOver) {
+			c.queueListRequest(name, listPosition{})
 		}
 		return
 	}
-	if len(changed) == 0 {
+	c.feed.pushPending = c.feed.pushPending || len(changed) > 0
+	c.feed.tookOver = tookOver
+	c.pushListIfDue(now)
+}
+
+// pushDueIn returns the time until this VM tells others of changes of the list.
+func (c *Controller) pushDueIn(now time.Time) time.Duration {
+	if !c.feed.pushPending {
+		return maxListReadInterval
+	}
+	return pushInterval - now.Sub(c.feed.pushedAt)
+}
+
+// pushListIfDue tells others of changes of the list.
+func (c *Controller) pushListIfDue(now time.Time) {
+	if c.pushDueIn(now) > 0 {
 		return
 	}
-	from := c.feed.pushedBefore
-	c.feed.pushedBefore, c.feed.pushedTo = c.feed.pushedTo, to
-	ids, known := c.feed.changedSince(from)
-	if !known {
-		from = c.feed.complete
+	from, to := c.feed.pushedTo, c.listSchedule.next
+	ids, known := c.feed.changedSince(c.feed.pushedBefore)
+	if known && len(ids) <= maxRepeatedChanges {
+		from = c.feed.pushedBefore
+	} else {
 		ids, _ = c.feed.changedSince(from)
 	}
-	if receivers := c.listReceivers(readForAll); len(receivers) > 0 && len(ids) > 0 {
+	c.feed.pushPending, c.feed.pushedAt = false, now
+	c.feed.pushedBefore, c.feed.pushedTo = c.feed.pushedTo, to
+	if receivers := c.listReceivers(c.feed.tookOver); len(receivers) > 0 && len(ids) > 0 {
 		c.sendChanges(now, from, ids, receivers)
 	}
 }
@@ -185,8 +211,8 @@
 	c.sendPages(now, peer.ListPage{Era: next.era, From: from.offset, Next: next.offset}, entries, receivers)
 }
 
-// sendWholeList sends a VM the whole list.
-func (c *Controller) sendWholeList(now time.Time, name string) {
+// sendWholeList sends a VM the whole list, and returns its number of entries.
+func (c *Controller) sendWholeList(now time.Time, name string) int {
 	cold := c.cold.Remaining(now)
 	var entries []peer.ListEntry
 	for _, replica := range c.scheduler.Replicas() {
@@ -196,6 +222,7 @@
 	}
 	next := c.listSchedule.next
 	c.sendPages(now, peer.ListPage{Era: next.era, Next: next.offset, Snapshot: true}, entries, []string{name})
+	return len(entries)
 }
 
 // listEntry returns what this VM knows of a replica. cold holds how much longer replicas are cold.
--- a/gateway/list_readers.go
+++ b/gateway/list_readers.go
@@ -104,23 +104,55 @@
 	return c.firstOf(c.currentGroups().mates)
 }
 
-// listReceivers returns the VMs that this VM tells of changes of the list: its group and the readers of other groups if it has read
-// them for all, and otherwise its group if it is the group's reader.
-func (c *Controller) listReceivers(readForAll bool) []string {
+// listFanOut is the number of VMs of its group, and of readers of other groups, that a VM tells of changes of the list.
+const listFanOut = 4
+
+// listReceivers returns the VMs that this VM tells of changes of the list. The readers of the groups form a tree below the one that
+// reads for all, and so do the VMs of each group below its reader, so that no VM's link carries the news for many others. A VM that has
+// taken over from the reader for all tells its own group and the readers of all others.
+func (c *Controller) listReceivers(tookOver bool) []string {
 	g := c.currentGroups()
-	if !readForAll && !c.readsForGroup() {
-		return nil
+	if tookOver && !c.readsForFleet() {
+		return append(slices.Clone(g.mates), c.otherReaders()...)
 	}
-	receivers := slices.Clone(g.mates)
-	if !readForAll {
-		return receivers
+	receivers := childrenOf(c.groupRank(), c.byPrecedence(append(slices.Clone(g.mates), c.self.VM)))
+	if c.readsForGroup() {
+		readers := c.byPrecedence(append(c.otherReaders(), c.self.VM))
+		receivers = append(receivers, childrenOf(slices.Index(readers, c.self.VM), readers)...)
 	}
-	for _, names := range g.others {
+	return receivers
+}
+
+// childrenOf returns the VMs below the one at an index in a tree with listFanOut branches at each, which holds names level by level.
+func childrenOf(index int, names []string) []string {
+	from := min(listFanOut*index+1, len(names))
+	return names[from:min(from+listFanOut, len(names))]
+}
+
+// otherReaders returns the readers of the other groups.
+func (c *Controller) otherReaders() []string {
+	var readers []string
+	for _, names := range c.currentGroups().others {
 		if reader := c.firstOf(names); reader != "" {
-			receivers = append(receivers, reader)
+			readers = append(readers, reader)
 		}
 	}
-	return receivers
+	return readers
+}
+
+// byPrecedence returns those of some VMs that are heard and stay, and this one, in order of precedence.
+func (c *Controller) byPrecedence(names []string) []string {
+	distanceOf := func(name string) int {
+		if name == c.self.VM {
+			return c.storeDistance()
+		}
+		return c.peers[name].storeDistance
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return name != c.self.VM && !c.peers[name].stays() })
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(distanceOf(a), distanceOf(b)), cmp.Compare(a, b))
+	})
+	return names
 }
 
 // takeoverPatience returns the additional time for which this VM waits before it reads the list for all in place of others.
--- a/gateway/list_requests.go
+++ b/gateway/list_requests.go
@@ -57,15 +57,11 @@
 	c.sendSummary(request, c.addressesOf([]string{provider}))
 }
 
-// handleListRequest sends a VM what it lacks of the list, as far as this VM knows it.
+// handleListRequest queues a VM that lacks some of the list, as far as this VM knows it.
 func (c *Controller) handleListRequest(b peer.Beacon) {
 	from := listPosition{b.ListEra, b.ListNext}
 	if !c.feedsList() || c.peers[b.VM] == nil || !c.replicas.everRead || !c.listSchedule.next.after(from) {
 		return
 	}
-	if ids, known := c.feed.changedSince(from); known {
-		c.sendChanges(c.now(), from, ids, []string{b.VM})
-		return
-	}
-	c.queueWholeList(b.VM)
+	c.queueListRequest(b.VM, from)
 }
