deploy, integration: streams that nobody remembers are refused (known red)

Cause: after all VMs were killed while two versions serve, no VM knows which one began a stream, and refuses those that callers take up.

--- a/integration/site_versions_test.go
+++ b/integration/site_versions_test.go
@@ -154,6 +154,15 @@
 		}
 	}
 	t.Run("two versions", func(t *testing.T) {
+		s := newVersionedSite(t, 2, "v1", "v2")
+		streams := s.breakStreams(t, s.vms[0], streamsToTakeUp)
+		time.Sleep(time.Second)
+		restart(s)
+		for _, broken := range streams {
+			s.assertTakenUp(t, broken, s.takeUp(s.vms[1], broken))
+		}
+	})
+	t.Run("two versions, and streams that have just begun", func(t *testing.T) {
 		s := newVersionedSite(t, 2, "v1", "v2")
 		streams := s.breakStreams(t, s.vms[0], streamsToTakeUp)
 		restart(s)
