resumption, gateway, app: VMs keep in the store at which versions streams have begun

Cause: only the VMs knew which version began a stream, and all were killed. What began within the last moment before the kill stays unknown and is refused, not run.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -127,7 +127,7 @@
 	}, follow.WithInterval(vmsReadInterval), follow.WithWakeups(s.vmsRefresh))
 	copies := newCopies(s.store, s.eras)
 	stopBackground := runInBackground(declarations.Run, func(ctx context.Context) { s.runChecks(ctx, control, declarations) }, replicas.Run, vms.Run, s.announce,
-		func(ctx context.Context) { s.readCopies(ctx, control, copies) }, func(ctx context.Context) { control.MaintainCopy(ctx, copies) })
+		func(ctx context.Context) { s.readCopies(ctx, control, copies) }, func(ctx context.Context) { control.MaintainCopy(ctx, copies) }, func(ctx context.Context) { control.MaintainStreams(ctx, newStreamStore(s.store)) })
 	<-ctx.Done()
 	stopBackground()
 }
@@ -198,6 +198,20 @@
 	}
 }
 
+// newStreamStore returns access to the records of the streams that VMs have begun.
+func newStreamStore(store *platform.Store) gateway.StreamStore {
+	topic := store.Topic(platform.TopicStreams)
+	return gateway.StreamStore{
+		Put: func(ctx context.Context, vm string, value []byte) error {
+			return store.Put(ctx, platform.TopicStreams, vm, value)
+		},
+		Newest: func(ctx context.Context) ([]follow.Record, error) {
+			found, err := topic.Newest(ctx)
+			return found.Records, err
+		},
+	}
+}
+
 // containsOwnRecord reports whether the batch contains this VM's record with its current address and availability zone.
 func (s *storeSyncer) containsOwnRecord(batch follow.Batch) bool {
 	return slices.ContainsFunc(batch.Records, func(r follow.Record) bool {
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -73,9 +73,11 @@
 	replicas   replicaList
 	feed       listFeed
 	streams    *resumption.Tracker
-	limits     *quota.ReplicaLimits
-	cold       *quota.ColdLimits
-	zones      zones
+	// streamsBegun is signaled when streams have begun that are to be written to the store.
+	streamsBegun chan struct{}
+	limits       *quota.ReplicaLimits
+	cold         *quota.ColdLimits
+	zones        zones
 	// groups is what this VM knows of other groups, or nil if the fleet is not divided into groups.
 	groups *groupState
 	// invalidHeaders holds the invalid values of replicas' headers that were logged, by event and replica ID.
@@ -132,7 +134,7 @@
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
 		refreshDeclarations: func() {}, storeDelay: func() time.Duration { return 0 }, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
-		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), limits: limits, cold: cold, invalidHeaders: map[string]string{},
+		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), streamsBegun: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -146,6 +146,7 @@
 			changed = append(changed, id)
 		}
 	}
+	defer c.announceStreams()
 	if !update.Snapshot {
 		return changed
 	}
--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -75,6 +75,7 @@
 			c.streams.Begin(c.now(), attempt, origin)
 		}
 		c.beacon.dirty = c.beacon.dirty || c.hasSeveralVersions(origin.Pool)
+		c.announceStreams()
 	})
 }
 
@@ -138,9 +139,14 @@
 
 // reportStreams returns the streams of this VM that peers have to know.
 func (c *Controller) reportStreams(now time.Time) resumption.Report {
-	several := slices.DeleteFunc(c.scheduler.Pools(), func(pool string) bool { return !c.hasSeveralVersions(pool) })
+	several := c.poolsOfSeveralVersions()
 	if len(several) == 0 {
 		return nil
 	}
 	return c.streams.Report(now, several)
 }
+
+// poolsOfSeveralVersions returns the pools whose streams may have begun at several software versions.
+func (c *Controller) poolsOfSeveralVersions() []string {
+	return slices.DeleteFunc(c.scheduler.Pools(), func(pool string) bool { return !c.hasSeveralVersions(pool) })
+}
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -27,9 +27,6 @@
 	Pool, Version string
 }
 
-// Report holds streams that have begun, by origin. A stream is named by a hash of the ID of the attempt that began it.
-type Report map[Origin][]uint64
-
 // Unknown says why it is not known where a stream began.
 type Unknown string
 
@@ -206,6 +203,32 @@
 	return report
 }
 
+// Own returns the newest streams, at most limit, that have begun at this VM in some pools and can still be resumed.
+func (t *Tracker) Own(now time.Time, pools []string, limit int) Report {
+	t.expire(now)
+	own := Report{}
+	count := 0
+	for i := len(t.order) - 1; i >= 0 && count < limit; i-- {
+		recorded := t.order[i]
+		stream := t.streams[recorded.name]
+		if stream == nil || !stream.own || !stream.at.Equal(recorded.at) || !slices.Contains(pools, stream.origin.Pool) {
+			continue
+		}
+		own[stream.origin] = append(own[stream.origin], recorded.name)
+		count++
+	}
+	return own
+}
+
+// RestoreOwn records streams that began at this VM before it started.
+func (t *Tracker) RestoreOwn(now time.Time, report Report) {
+	for origin, names := range report {
+		for _, name := range names {
+			t.record(now, name, origin, true)
+		}
+	}
+}
+
 // RecordPeer records the streams that a peer has told of.
 func (t *Tracker) RecordPeer(now time.Time, report Report) {
 	for origin, names := range report {
