integration: odd entries come with a change, so that each VM reads them

Cause: the test asked that each VM logs the odd entries. Since a VM does not read what a peer has read without a change of the list, so two of three VMs never met them, and the check failed for that reason. Change: one replica writes a changed entry after them, and each VM reads the range; the check stays as it was.

--- a/integration/site_odd_entries_test.go
+++ b/integration/site_odd_entries_test.go
@@ -42,6 +42,9 @@
 		s.store.Put("keyed.servers", "odd "+name, []byte(value))
 		s.store.Put(topicVMs, "odd "+name, []byte(value))
 	}
+	// A VM does not read what others have read without a change.
+	s.updateEntry("s-1", "slots", 47)
+	time.Sleep(maxSitePropagationDelay)
 	late := s.newVM("vm-late")
 	s.start(late)
 	s.awaitServing(late)
@@ -59,6 +62,6 @@
 		for _, name := range []string{"port out of range", "negative port", "port 0", "named port", "no port", "IPv6 zone"} {
 			assert.Empty(t, s.logLines(v, "Event=vm-listed", "odd "+name), "a record without a usable address is not used")
 		}
-		assert.NotEmpty(t, s.logLines(v, "replica-entry-unreadable", "odd port out of range"))
+		assert.NotEmpty(t, s.logLines(v, "replica-entry-unreadable", "odd port out of range"), v.name)
 	}
 }
