gateway: changes of the list are told in batches that links carry, asked for along the tree

Cause: whoever had missed a message was sent all changes since, again every 0.3 s, in bursts of 60 kB that links drop, and all asked the one VM that reads for all; a list that had been empty counted as unknown, so that its first changes went out as whole lists. Ruled out: steady state; from 4 s before the traffic on nothing but summaries crosses, declarations are in force after 0.75 s at most.

--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +13,9 @@
 const (
 	// maxPageEntries is the number of entries in one page of the list of replicas: compressed, a datagram holds several times
 	// as many.
-	maxPageEntries = 400
+	maxPageEntries = 250
+	// maxMessageEntries is the number of changes that are sent at once: the queue of a link holds little more.
+	maxMessageEntries = 500
 	// mateListenPeriod is how long a VM that has read the list of VMs listens for others before it reads the list of replicas, and
 	// farListenPeriod that of one which may be further from the store than others.
 	mateListenPeriod = 450 * time.Millisecond
@@ -34,19 +35,15 @@
 	maxListTakeover     = 1200 * time.Millisecond
 	// pushInterval is the minimum time between two messages about changes to the same VMs, and maxRepeatedChanges the number of
 	// changes up to which those of the last message are told again.
-	pushInterval       = 200 * time.Millisecond
+	pushInterval       = 150 * time.Millisecond
 	maxRepeatedChanges = 64
-	// maxListHistory bounds the number of replicas whose last change is remembered.
-	maxListHistory = 8192
 )
 
 // listFeed passes what one VM has read of the list of replicas on to all others: the reader of the fleet tells the readers of the
 // groups, and they tell their groups. Replicas append their entries all the time, and if each VM read that by itself, it would fill
 // the link between regions.
 type listFeed struct {
-	// changedAt holds the offset of the last change of each replica since the position complete, by ID.
-	changedAt map[string]uint64
-	complete  listPosition
+	history listHistory
 	// pushedTo is the position up to which the receivers have been told of changes, at pushedAt, and pushedBefore the one before
 	// that. A few changes are told twice, since a datagram may be lost.
 	pushedTo, pushedBefore listPosition
@@ -63,7 +60,7 @@
 }
 
 func newListFeed() listFeed {
-	return listFeed{changedAt: map[string]uint64{}, queue: newListQueue(), pages: map[string][]*peer.ListPage{}}
+	return listFeed{history: newListHistory(), queue: newListQueue(), pages: map[string][]*peer.ListPage{}}
 }
 
 // WithListFeed sets the function that is told up to which position of the store the list of replicas has become known from another
@@ -118,56 +115,22 @@
 	return mateListWait + c.groupTakeoverStagger()
 }
 
-// recordChanges keeps which replicas have changed, up to the position that this VM has reached. offsets holds those of their
-// entries. It returns false if what changed before that position is not known: this is the first list, or that of a new era.
-func (f *listFeed) recordChanges(changed []string, offsets map[string]uint64, to listPosition) bool {
-	if f.complete.era != to.era || f.complete.offset == 0 {
-		f.complete = to
-		clear(f.changedAt)
-		return false
-	}
-	if len(f.changedAt) > maxListHistory {
-		f.complete = f.pushedTo
-		maps.DeleteFunc(f.changedAt, func(_ string, offset uint64) bool { return offset < f.pushedTo.offset })
-	}
-	for _, id := range changed {
-		f.changedAt[id] = to.offset - 1
-		if offset := offsets[id]; offset > 0 {
-			f.changedAt[id] = offset
-		}
-	}
-	return true
-}
-
-// changedSince returns the replicas that have changed from a position on, or false if that is not known.
-func (f *listFeed) changedSince(from listPosition) ([]string, bool) {
-	if from.era != f.complete.era || from.offset < f.complete.offset {
-		return nil, false
-	}
-	var ids []string
-	for id, offset := range f.changedAt {
-		if offset >= from.offset {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids, true
-}
-
 // feedUpdate passes on what this VM has learned of the list. tookOver is whether it has read that in place of the VM that reads for
 // all.
-func (c *Controller) feedUpdate(now time.Time, changed []string, offsets map[string]uint64, tookOver bool) {
+func (c *Controller) feedUpdate(now time.Time, changed []string, tookOver bool) {
 	if !c.feedsList() {
 		return
 	}
 	to := c.listSchedule.next
-	if !c.feed.recordChanges(changed, offsets, to) {
+	if !c.feed.history.begun || c.feed.history.complete.era != to.era {
+		c.feed.history.begin(to)
 		c.feed.pushedBefore, c.feed.pushedTo = to, to
 		for _, name := range c.listReceivers(tookOver) {
-			c.queueListRequest(name, listPosition{})
+			c.queueListRequest(name, noList)
 		}
 		return
 	}
+	c.feed.history.add(changed, to)
 	c.feed.pushPending = c.feed.pushPending || len(changed) > 0
 	c.feed.tookOver = tookOver
 	c.pushListIfDue(now)
@@ -186,29 +149,32 @@
 	if c.pushDueIn(now) > 0 {
 		return
 	}
-	from, to := c.feed.pushedTo, c.listSchedule.next
-	ids, known := c.feed.changedSince(c.feed.pushedBefore)
-	if known && len(ids) <= maxRepeatedChanges {
-		from = c.feed.pushedBefore
-	} else {
-		ids, _ = c.feed.changedSince(from)
-	}
-	c.feed.pushPending, c.feed.pushedAt = false, now
-	c.feed.pushedBefore, c.feed.pushedTo = c.feed.pushedTo, to
-	if receivers := c.listReceivers(c.feed.tookOver); len(receivers) > 0 && len(ids) > 0 {
-		c.sendChanges(now, from, ids, receivers)
+	from, next := c.feed.pushedTo, c.listSchedule.next
+	if c.feed.history.knows(c.feed.pushedBefore) {
+		if ids, end := c.feed.history.since(c.feed.pushedBefore, next, maxRepeatedChanges); len(ids) <= maxRepeatedChanges && end == next {
+			from = c.feed.pushedBefore
+		}
 	}
+	c.feed.pushedBefore, c.feed.pushedAt = c.feed.pushedTo, now
+	c.feed.pushedTo, _ = c.sendChanges(now, from, c.listReceivers(c.feed.tookOver))
+	c.feed.pushPending = next.after(c.feed.pushedTo)
 }
 
-// sendChanges sends VMs what has changed of the list from a position on.
-func (c *Controller) sendChanges(now time.Time, from listPosition, ids, receivers []string) {
+// sendChanges sends VMs what has changed of the list from a position on, as much as fits in a message. It returns the position after
+// that, and the number of entries.
+func (c *Controller) sendChanges(now time.Time, from listPosition, receivers []string) (listPosition, int) {
+	next := c.listSchedule.next
+	ids, end := c.feed.history.since(from, next, maxMessageEntries)
+	if len(ids) == 0 || len(receivers) == 0 {
+		return next, 0
+	}
 	cold := c.cold.Remaining(now)
 	var entries []peer.ListEntry
 	for _, id := range ids {
-		entries = append(entries, c.listEntry(cold, id, c.feed.changedAt[id]))
+		entries = append(entries, c.listEntry(cold, id))
 	}
-	next := c.listSchedule.next
-	c.sendPages(now, peer.ListPage{Era: next.era, From: from.offset, Next: next.offset}, entries, receivers)
+	c.sendPages(now, peer.ListPage{Era: next.era, From: from.offset, Next: end.offset}, entries, receivers)
+	return end, len(entries)
 }
 
 // sendWholeList sends a VM the whole list, and returns its number of entries.
@@ -217,7 +183,7 @@
 	var entries []peer.ListEntry
 	for _, replica := range c.scheduler.Replicas() {
 		if !replica.Doubtful {
-			entries = append(entries, c.listEntry(cold, replica.ID, 0))
+			entries = append(entries, c.listEntry(cold, replica.ID))
 		}
 	}
 	next := c.listSchedule.next
@@ -226,13 +192,13 @@
 }
 
 // listEntry returns what this VM knows of a replica. cold holds how much longer replicas are cold.
-func (c *Controller) listEntry(cold map[string]time.Duration, id string, offset uint64) peer.ListEntry {
+func (c *Controller) listEntry(cold map[string]time.Duration, id string) peer.ListEntry {
 	replica, listed := c.scheduler.Replica(id)
 	if !listed || replica.Doubtful {
-		return peer.ListEntry{Replica: placement.Replica{ID: id}, Removed: true, Offset: offset}
+		return peer.ListEntry{Replica: placement.Replica{ID: id}, Removed: true}
 	}
 	version := c.replicas.versions.newest[id]
-	return peer.ListEntry{Replica: replica, Offset: offset, Born: version.Born, Sequence: version.Sequence, ColdFor: cold[id]}
+	return peer.ListEntry{Replica: replica, Born: version.Born, Sequence: version.Sequence, ColdFor: cold[id]}
 }
 
 // sendPages sends entries in pages to VMs.
@@ -283,7 +249,7 @@
 	if len(pages) < page.Pages {
 		return
 	}
-	clear(c.feed.pages)
+	delete(c.feed.pages, b.VM)
 	c.applyPages(now, b.VM, pages)
 }
 
@@ -298,9 +264,6 @@
 	update := ReplicaUpdate{Snapshot: first.Snapshot, Era: first.Era, Next: first.Next, offsets: map[string]uint64{}, versions: map[string]EntryVersion{}, coldFor: map[string]time.Duration{}}
 	for _, page := range pages {
 		for _, entry := range page.Entries {
-			if !first.Snapshot && entry.Offset < known.offset {
-				continue
-			}
 			update.addEntry(entry)
 		}
 	}
@@ -310,13 +273,13 @@
 	changed := c.applyList(now, now.Add(-first.Age), update)
 	c.advanceList(first.Next, first.Era)
 	c.log.Info("list-adopted", zap.String("Peer", from), zap.Int("Entries", len(update.Listed)+len(update.Removed)), zap.Bool("Whole", first.Snapshot), zap.Uint64("Next", first.Next), zap.Duration("Age", first.Age))
-	c.feedUpdate(now, changed, update.offsets, false)
+	c.feedUpdate(now, changed, false)
 }
 
 // addEntry adds an entry that another VM has read.
 func (u *ReplicaUpdate) addEntry(entry peer.ListEntry) {
 	id := entry.Replica.ID
-	u.offsets[id] = entry.Offset
+	u.offsets[id] = max(u.Next, 1) - 1
 	if entry.Removed {
 		u.Removed = append(u.Removed, id)
 		return
--- a/gateway/list_queue.go
+++ b/gateway/list_queue.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,10 +19,13 @@
 	listQueuePatience = 2*listRequestInterval + 100*time.Millisecond
 )
 
+// noList stands for the position of a VM that has no list.
+var noList = listPosition{era: math.MaxUint64}
+
 // listQueue holds the VMs that wait for what they lack of the list of replicas.
 type listQueue struct {
 	waiting []string
-	// from is the position up to which a VM knows the list, or zero if it has none, and askedAt when it last asked, by name.
+	// from is the position up to which a VM knows the list, or noList, and askedAt when it last asked, by name.
 	from    map[string]listPosition
 	askedAt map[string]time.Time
 	// wholeAt is when a VM was last sent the whole list, by name.
@@ -87,11 +91,10 @@
 		return
 	}
 	from := c.feed.queue.from[name]
-	ids, known := c.feed.changedSince(from)
 	switch {
-	case known:
-		c.sendChanges(now, from, ids, []string{name})
-		c.feed.queue.recordSent(now, len(ids))
+	case from != noList && c.feed.history.knows(from):
+		_, entries := c.sendChanges(now, from, []string{name})
+		c.feed.queue.recordSent(now, entries)
 	case now.Sub(c.feed.queue.wholeAt[name]) >= wholeListRepeat:
 		c.feed.queue.wholeAt[name] = now
 		c.feed.queue.recordSent(now, c.sendWholeList(now, name))
@@ -103,5 +106,5 @@
 	if !c.feedsList() || b.ListAge >= 0 || b.Leaving || !c.replicas.everRead || !c.readsForGroup() {
 		return
 	}
-	c.queueListRequest(b.VM, listPosition{})
+	c.queueListRequest(b.VM, noList)
 }
--- a/gateway/list_readers.go
+++ b/gateway/list_readers.go
@@ -95,13 +95,22 @@
 	return c.firstOf(candidates)
 }
 
-// listProvider returns the peer from which this VM gets the list of replicas: the reader of its group, or if that is this VM the
-// one that reads for all.
+// listProvider returns the peer from which this VM gets the list of replicas, the one above it in the tree, or an empty string if this
+// VM reads it for all.
 func (c *Controller) listProvider() string {
-	if c.readsForGroup() {
-		return c.fleetReader()
+	if !c.readsForGroup() {
+		return parentOf(c.self.VM, c.byPrecedence(append(slices.Clone(c.currentGroups().mates), c.self.VM)))
+	}
+	return parentOf(c.self.VM, c.byPrecedence(append(c.otherReaders(), c.self.VM)))
+}
+
+// parentOf returns the VM above another one in a tree of names, or an empty string for the first.
+func parentOf(name string, names []string) string {
+	index := slices.Index(names, name)
+	if index <= 0 {
+		return ""
 	}
-	return c.firstOf(c.currentGroups().mates)
+	return names[(index-1)/listFanOut]
 }
 
 // listFanOut is the number of VMs of its group, and of readers of other groups, that a VM tells of changes of the list.
--- a/gateway/list_requests.go
+++ b/gateway/list_requests.go
@@ -53,14 +53,20 @@
 		return
 	}
 	request := c.newListMessage(peer.ScopeListRequest, nil)
-	request.ListEra, request.ListNext = c.listSchedule.next.era, c.listNext()
+	request.ListEra, request.ListNext = c.listSchedule.next.era, c.listSchedule.next.offset
+	if c.replicas.everRead {
+		request.ListAge = now.Sub(c.listSchedule.ranAt)
+	}
 	c.sendSummary(request, c.addressesOf([]string{provider}))
 }
 
 // handleListRequest queues a VM that lacks some of the list, as far as this VM knows it.
 func (c *Controller) handleListRequest(b peer.Beacon) {
 	from := listPosition{b.ListEra, b.ListNext}
-	if !c.feedsList() || c.peers[b.VM] == nil || !c.replicas.everRead || !c.listSchedule.next.after(from) {
+	if b.ListAge < 0 {
+		from = noList
+	}
+	if !c.feedsList() || c.peers[b.VM] == nil || !c.replicas.everRead || from != noList && !c.listSchedule.next.after(from) {
 		return
 	}
 	c.queueListRequest(b.VM, from)
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -96,7 +96,7 @@
 
 func (c *Controller) applyReplicas(now time.Time, update ReplicaUpdate) {
 	changed := c.applyList(now, now, update)
-	c.feedUpdate(now, changed, update.offsets, c.listSchedule.tookOver)
+	c.feedUpdate(now, changed, c.listSchedule.tookOver)
 }
 
 // applyList applies an update of the list that was read at a time. It returns the IDs of the replicas that have changed.
--- a/peer/list_page.go
+++ b/peer/list_page.go
@@ -39,7 +39,6 @@
 type ListEntry struct {
 	Replica placement.Replica
 	Removed bool
-	Offset  uint64
 	// Born and Sequence are the version of the entry, and ColdFor how much longer the replica is cold.
 	Born, Sequence int64
 	ColdFor        time.Duration
