--- a/gateway/list_readers.go
+++ b/gateway/list_readers.go
@@ -13,6 +13,8 @@
 	// news of it has reached other groups. The others are patient for otherTakeoverPatience longer, and their groups' readers come first.
 	firstTakeovers        = 5
 	otherTakeoverPatience = 600 * time.Millisecond
+	// listFanOut is the number of VMs of its group, and of readers of other groups, that a VM tells of changes of the list.
+	listFanOut = 4
 	// storeUnreachable is the distance of a VM whose reads of the list fail.
 	storeUnreachable = 1 << 20
 )
@@ -113,9 +115,6 @@
 	return names[(index-1)/listFanOut]
 }
 
-// listFanOut is the number of VMs of its group, and of readers of other groups, that a VM tells of changes of the list.
-const listFanOut = 4
-
 // listReceivers returns the VMs that this VM tells of changes of the list. The readers of the groups form a tree below the one that
 // reads for all, and so do the VMs of each group below its reader, so that no VM's link carries the news for many others. A VM that has
 // taken over from the reader for all tells its own group and the readers of all others.
--- a/integration/site_versions_test.go
+++ b/integration/site_versions_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// versionOf returns the software versions of the engines that ran an attempt, in order of the engines.
+// versionsOf returns the software versions of the engines that ran an attempt, in order of the engines.
 func (s *versionedSite) versionsOf(attempt string) []string {
 	var versions []string
 	for n := range 2 * len(s.versions) {
@@ -99,6 +99,18 @@
 	assert.Equal(t, s.versionsOf(broken.attempt), s.versionsOf(a.attempt))
 }
 
+// assertTakenUpOrRefused takes streams up at the second VM, and checks that each goes on at its version or is refused as not run.
+func (s *versionedSite) assertTakenUpOrRefused(t *testing.T, streams []siteResponse) {
+	t.Helper()
+	for _, broken := range streams {
+		if a := s.takeUp(s.vms[1], broken); a.status == http.StatusOK {
+			s.assertTakenUp(t, broken, a)
+		} else {
+			s.assertNotRun(t, a)
+		}
+	}
+}
+
 // TestSiteStreamGoesOnAtAnotherSoftwareVersion guards against streams that hold events of two software versions of a service.
 func TestSiteStreamGoesOnAtAnotherSoftwareVersion(t *testing.T) {
 	t.Parallel()
@@ -166,13 +178,7 @@
 		s := newVersionedSite(t, 2, "v1", "v2")
 		streams := s.breakStreams(t, s.vms[0], streamsToTakeUp)
 		restart(s)
-		for _, broken := range streams {
-			if a := s.takeUp(s.vms[1], broken); a.status == http.StatusOK {
-				s.assertTakenUp(t, broken, a)
-			} else {
-				s.assertNotRun(t, a)
-			}
-		}
+		s.assertTakenUpOrRefused(t, streams)
 	})
 	t.Run("the old version has just gone", func(t *testing.T) {
 		s := newVersionedSite(t, 2, "v1", "v2")
@@ -181,13 +187,7 @@
 			s.store.PutReplica(s.engine(n), nil)
 		}
 		restart(s)
-		for _, broken := range streams {
-			if a := s.takeUp(s.vms[1], broken); a.status == http.StatusOK {
-				s.assertTakenUp(t, broken, a)
-			} else {
-				s.assertNotRun(t, a)
-			}
-		}
+		s.assertTakenUpOrRefused(t, streams)
 	})
 	t.Run("a single version goes on", func(t *testing.T) {
 		s := newVersionedSite(t, 2, "v1")
