--- a/gateway/resumed_streams_test.go
+++ b/gateway/resumed_streams_test.go
@@ -69,7 +69,8 @@
 	})
 	t.Run("a replica that has gone", func(t *testing.T) {
 		c := newVM(map[string][]string{"p": {"v2"}})
-		c.applyReplicas(now, ReplicaUpdate{Next: 2, Removed: []string{"r"}})
-		assert.Equal(t, map[string][]string{"p": {"v2"}}, c.streamVersions())
+		c.applyReplicas(now, ReplicaUpdate{Next: 2, Listed: []placement.Replica{{ID: "r-3", Pool: "p", Address: "127.0.0.1:3", SoftwareVersion: "v3"}}})
+		c.applyReplicas(now, ReplicaUpdate{Next: 3, Removed: []string{"r-3"}})
+		assert.Equal(t, map[string][]string{"p": {"v2", "v3"}}, c.streamVersions())
 	})
 }
--- a/integration/site_versions_test.go
+++ b/integration/site_versions_test.go
@@ -154,10 +154,11 @@
 // go on with it at any.
 func TestSiteRestartedVMsJoinSoftwareVersions(t *testing.T) {
 	t.Parallel()
-	restart := func(s *versionedSite) {
+	restart := func(s *versionedSite, meanwhile func()) {
 		for _, v := range s.vms {
 			s.kill(v)
 		}
+		meanwhile()
 		for _, v := range s.vms {
 			s.start(v)
 		}
@@ -169,7 +170,7 @@
 		s := newVersionedSite(t, 2, "v1", "v2")
 		streams := s.breakStreams(t, s.vms[0], streamsToTakeUp)
 		time.Sleep(time.Second)
-		restart(s)
+		restart(s, func() {})
 		for _, broken := range streams {
 			s.assertTakenUp(t, broken, s.takeUp(s.vms[1], broken))
 		}
@@ -177,7 +178,7 @@
 	t.Run("two versions, and streams that have just begun", func(t *testing.T) {
 		s := newVersionedSite(t, 2, "v1", "v2")
 		streams := s.breakStreams(t, s.vms[0], streamsToTakeUp)
-		restart(s)
+		restart(s, func() {})
 		s.assertTakenUpOrRefused(t, streams)
 	})
 	t.Run("the old version has just gone", func(t *testing.T) {
@@ -186,14 +187,27 @@
 		for n := range 2 {
 			s.store.PutReplica(s.engine(n), nil)
 		}
-		restart(s)
+		restart(s, func() {})
 		s.assertTakenUpOrRefused(t, streams)
 	})
+	t.Run("another version has taken the place of a single one", func(t *testing.T) {
+		s := newVersionedSite(t, 2, "v1")
+		streams := s.breakStreams(t, s.vms[0], streamsToTakeUp)
+		time.Sleep(2 * time.Second)
+		restart(s, func() {
+			for _, id := range []string{"p-0", "p-1", "d-0", "d-1"} {
+				s.updateEntry(id, "version", "v2")
+			}
+		})
+		for _, broken := range streams {
+			s.assertNotRun(t, s.takeUp(s.vms[1], broken))
+		}
+	})
 	t.Run("a single version goes on", func(t *testing.T) {
 		s := newVersionedSite(t, 2, "v1")
 		streams := s.breakStreams(t, s.vms[0], streamsToTakeUp)
 		time.Sleep(2 * time.Second)
-		restart(s)
+		restart(s, func() {})
 		for _, broken := range streams {
 			s.assertTakenUp(t, broken, s.takeUp(s.vms[1], broken))
 		}
