gateway: VMs of several regions leave new declarations to their waiting read

Cause: whoever hears from a peer of newer declarations reads them at once, which also gives up the waiting read that is bringing them, and half a second later the whole backup copy with them: 150 VMs over one link. Change: in fleets of groups a VM waits 0.6 s and up to 1 s more by its rank in the group for its waiting read, and one second more before it reads the copy. Other fleets are as before.

--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -14,6 +14,13 @@
 	// catchUpWait is how long a VM that has just got its declarations waits to hear each peer that the store lists. It
 	// is longer than beaconInterval.
 	catchUpWait = 500 * time.Millisecond
+	// groupRefreshWait is how long a VM of a fleet of several regions waits for its waiting read once it has heard of newer
+	// declarations. Each VM of the group that comes before adds groupRefreshStagger, up to maxGroupRefreshStagger.
+	groupRefreshWait       = 600 * time.Millisecond
+	groupRefreshStagger    = 80 * time.Millisecond
+	maxGroupRefreshStagger = time.Second
+	// groupCopyWait is how much later it reads the copy.
+	groupCopyWait = time.Second
 	// copyReadInterval is the minimum time between two reads of the backup copy.
 	copyReadInterval = time.Second
 )
@@ -93,10 +100,14 @@
 		return
 	}
 	c.newerVersion.Store(&heardVersion{version, now})
-	if now.Sub(c.refreshedAt) < minRefreshInterval {
+	if version > c.firstHeard.version {
+		c.firstHeard = heardVersion{version, now}
+	}
+	outdatedFor := now.Sub(c.firstHeard.at)
+	if now.Sub(c.refreshedAt) < minRefreshInterval || outdatedFor < c.refreshWait() {
 		return
 	}
-	foundNothing := c.refreshedFor == version
+	foundNothing := c.refreshedFor == version && outdatedFor >= c.refreshWait()+c.copyWait()
 	c.refreshedAt, c.refreshedFor = now, version
 	c.refreshDeclarations()
 	if foundNothing && now.Sub(c.copyReadAt) >= copyReadInterval {
@@ -107,6 +118,24 @@
 	}
 }
 
+// refreshWait returns how long this VM waits for new declarations on its waiting read, after a peer has told of them, before it reads
+// them once more. In fleets whose groups are told by summaries all VMs of a region hear of them at about the same time, and their
+// reads, let alone second ones, share a link.
+func (c *Controller) refreshWait() time.Duration {
+	if c.groups == nil {
+		return 0
+	}
+	return groupRefreshWait + min(time.Duration(c.groupRank())*groupRefreshStagger, maxGroupRefreshStagger)
+}
+
+// copyWait returns how long this VM reads the declarations for before it reads the copy, which is larger.
+func (c *Controller) copyWait() time.Duration {
+	if c.groups == nil {
+		return 0
+	}
+	return groupCopyWait
+}
+
 // heardVersion is a version of the declarations of which a peer has told.
 type heardVersion struct {
 	version uint64
--- a/gateway/fleet_scale_test.go
+++ b/gateway/fleet_scale_test.go
@@ -218,6 +218,31 @@
 	}
 }
 
+// TestEachVMReadsNewDeclarationsAgainAndAgain guards against VMs that hear of new declarations while their waiting read brings them, and
+// read them once more, all over the same link.
+func TestEachVMReadsNewDeclarationsAgainAndAgain(t *testing.T) {
+	t.Parallel()
+	forEachSize(t, func(t *testing.T, f *simFleet) {
+		count := func() (total int) {
+			for _, v := range f.vms {
+				total += v.configReads
+			}
+			return total
+		}
+		before := count()
+		const versions = 3
+		for range versions {
+			f.configure()
+			took := f.runUntil(10*time.Second, isConfigured(f))
+			assert.LessOrEqual(t, took, configTarget)
+			f.run(2 * time.Second)
+		}
+		reads := float64(count()-before) / versions / float64(len(f.vms))
+		t.Logf("%.2f reads of a version by a VM", reads)
+		assert.Less(t, reads, 1.1, "the waiting read is enough")
+	})
+}
+
 // TestFarVMsLeaveTheListToThoseNearTheStore guards against a reader of the list for all that stands behind the link between regions.
 func TestFarVMsLeaveTheListToThoseNearTheStore(t *testing.T) {
 	t.Parallel()
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -58,6 +58,7 @@
 	// reading is whether a read of the list is in flight, and readAgain whether another one has been asked for meanwhile.
 	reading, readAgain bool
 	configRead         uint64
+	configReads        int
 }
 
 // simFleet runs the control state of VMs in simulated time, with links of limited rate and a store.
@@ -375,6 +376,7 @@
 }
 
 func (f *simFleet) readConfig(v *simVM) {
+	v.configReads++
 	var d routing.Declarations
 	f.answer(v, func() int {
 		d = f.config
