gateway: a VM that is behind does not wait anew for each version of which it hears

Cause: reading again: in a quick succession of declarations each newer one began the wait for the waiting read anew, so that a VM whose waiting read is lost would not read them before the succession ends. Change: the wait counts from the first version that the VM lacks.

--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -100,7 +100,7 @@
 		return
 	}
 	c.newerVersion.Store(&heardVersion{version, now})
-	if version > c.firstHeard.version {
+	if c.firstHeard.version <= c.version() {
 		c.firstHeard = heardVersion{version, now}
 	}
 	outdatedFor := now.Sub(c.firstHeard.at)
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -59,7 +59,7 @@
 	readCopy func()
 	// newerVersion is the last version newer than that in force of which a peer has told, or nil.
 	newerVersion atomic.Pointer[heardVersion]
-	// firstHeard is the newest version of which a peer has told, and when one first did. Only the control goroutine accesses it.
+	// firstHeard is the first version newer than that in force of which a peer has told. Only the control goroutine accesses it.
 	firstHeard heardVersion
 	// caughtUp is whether this VM may serve with its declarations.
 	caughtUp atomic.Bool
--- a/gateway/outdated_test.go
+++ b/gateway/outdated_test.go
@@ -51,3 +51,18 @@
 		assert.Equal(t, http.StatusNotFound, get("/new/").Code)
 	})
 }
+
+// TestDeclarationsInQuickSuccessionAreNotReadAgain guards against a VM whose waiting read is lost and that waits anew for it with each
+// version of which it hears.
+func TestDeclarationsInQuickSuccessionAreNotReadAgain(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	reads := 0
+	c := NewController(peer.Identity{VM: "vm", Incarnation: "x"}, "zone", func(c *Controller) { c.now = func() time.Time { return now } },
+		WithRegions(map[string]string{"zone": "north", "other": "south"}), WithDeclarationsRefresh(func() { reads++ }))
+	begin := now
+	for version := uint64(1); reads == 0 && now.Sub(begin) < 10*time.Second; version++ {
+		c.refreshIfNewer(now, "other-vm", version)
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, now.Sub(begin), groupRefreshWait+200*time.Millisecond)
+}
