--- a/integration/site_versions_test.go
+++ b/integration/site_versions_test.go
@@ -199,6 +199,9 @@
 				s.updateEntry(id, "version", "v2")
 			}
 		})
+		s.eventually(5*time.Second, "the engines are known", func() bool {
+			return s.send(s.vms[1], streamRequest("/check/a")).status == http.StatusOK
+		})
 		for _, broken := range streams {
 			s.assertNotRun(t, s.takeUp(s.vms[1], broken))
 		}
