gateway: one order of precedence for the tree and for who reads

Cause: reading the change again: byPrecedence compared distance and name once more beside precedes. Change: comparePrecedence serves both; behaviour as it was. Measured: go test ./gateway passes.

--- a/gateway/list_readers.go
+++ b/gateway/list_readers.go
@@ -40,10 +40,10 @@
 	})
 }
 
-// precedes reports whether the VM called name comes before another one when one is to act for both: it is closer to the store, or
-// as close and the first by name.
-func precedes(name string, distance int, other string, otherDistance int) bool {
-	return cmp.Or(cmp.Compare(distance, otherDistance), cmp.Compare(name, other)) < 0
+// comparePrecedence returns a negative number if the VM called name comes before another one when one is to act for both: it is closer
+// to the store, or as close and the first by name.
+func comparePrecedence(name string, distance int, other string, otherDistance int) int {
+	return cmp.Or(cmp.Compare(distance, otherDistance), cmp.Compare(name, other))
 }
 
 // stays reports whether a peer is heard and not leaving, so that it can act for others.
@@ -51,7 +51,7 @@
 
 // takesPrecedence reports whether the peer with this name comes before this VM when one VM is to act for all.
 func (c *Controller) takesPrecedence(name string, p *peerState) bool {
-	return p.stays() && precedes(name, p.storeDistance, c.self.VM, c.storeDistance())
+	return p.stays() && comparePrecedence(name, p.storeDistance, c.self.VM, c.storeDistance()) < 0
 }
 
 // firstOf returns the peer among names that comes first when one is to act for all, or an empty string if none is heard.
@@ -62,7 +62,7 @@
 		if p == nil || !p.stays() {
 			continue
 		}
-		if first == "" || precedes(name, p.storeDistance, first, c.peers[first].storeDistance) {
+		if first == "" || comparePrecedence(name, p.storeDistance, first, c.peers[first].storeDistance) < 0 {
 			first = name
 		}
 	}
@@ -157,9 +157,7 @@
 		return c.peers[name].storeDistance
 	}
 	names = slices.DeleteFunc(names, func(name string) bool { return name != c.self.VM && !c.peers[name].stays() })
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(distanceOf(a), distanceOf(b)), cmp.Compare(a, b))
-	})
+	slices.SortFunc(names, func(a, b string) int { return comparePrecedence(a, distanceOf(a), b, distanceOf(b)) })
 	return names
 }
 
