gateway: far VMs that each read new declarations are seconds late (known red)

Cause: each VM reads each version from the store by itself, and the VMs of the region that is far from it over one link. No product code.

--- a/gateway/fleet_simulation_store_test.go
+++ b/gateway/fleet_simulation_store_test.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
@@ -94,7 +98,7 @@
 	var d routing.Declarations
 	f.answer(v, func() int {
 		d = f.config
-		return simConfigSize
+		return f.configSize
 	}, func() {
 		v.configRead = max(v.configRead, d.Version)
 		v.SetDeclarations(d)
@@ -116,6 +120,19 @@
 	}, func() {})
 }
 
+// declareRoutes declares a number of routes from the next version on.
+func (f *simFleet) declareRoutes(count int) {
+	f.config.Routes = nil
+	for n := range count {
+		host := fmt.Sprintf("%08x%08x.example", f.random.Uint32(), f.random.Uint32())
+		f.config.Routes = append(f.config.Routes, routing.Route{Name: fmt.Sprintf("route-%08x", f.random.Uint32()), Host: host, Prefix: fmt.Sprintf("/%08x/", f.random.Uint32()),
+			Timeout: 14 * time.Second, LatencyTarget: time.Duration(n) * time.Millisecond, MaxAttempts: 2, Splits: []routing.Split{{Pool: "p", Weight: 1}}})
+	}
+	data, err := json.Marshal(f.config)
+	require.NoError(f.t, err)
+	f.configSize = len(data)
+}
+
 // configure writes new declarations. The waiting reads of all VMs are answered.
 func (f *simFleet) configure() {
 	f.config.Version++
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -28,9 +28,9 @@
 	simStoreTime            = 4 * time.Millisecond
 	// simMaxLinkWait is the time that a datagram may wait at a link before it is dropped.
 	simMaxLinkWait = time.Second
-	// simEntryBytes is the size of an entry of the list of replicas, simConfigSize that of the declarations.
+	// simEntryBytes is the size of an entry of the list of replicas, simRoutes the number of routes that are declared.
 	simEntryBytes = 230
-	simConfigSize = 20_000
+	simRoutes     = 60
 	// simCallTimeout is how long a VM waits for an answer of the store that does not come.
 	simCallTimeout = 1500 * time.Millisecond
 	// simRetryDelay is the pause before a failed read is tried again.
@@ -76,7 +76,9 @@
 	replicas []placement.Replica
 	zones    []string
 	changes  map[uint64]placement.Replica
-	config   routing.Declarations
+	// config holds the newest declarations, of which each answer of the store holds configSize bytes.
+	config     routing.Declarations
+	configSize int
 	// listed is the number of replicas at the start, and rewrites how many entries have been rewritten until rewrittenAt.
 	listed      int
 	rewrites    float64
@@ -120,6 +122,7 @@
 		accounts = append(accounts, routing.Account{Name: fmt.Sprintf("account-%03d", n), Priority: -1, TokensPerSecond: 1e6, BurstTokens: 1e7})
 	}
 	f.config = routing.Declarations{Version: 1, Accounts: accounts, Pools: []routing.Pool{{Name: "p", Engine: &routing.EngineSpec{MaxRunning: 32, MemoryTokens: 75_000}}}}
+	f.declareRoutes(simRoutes)
 	for n := range vms {
 		f.addVM(fmt.Sprintf("vm-%s-%d", zones[n%6], n/6+1), zones[n%6], regions)
 	}
@@ -316,6 +319,19 @@
 	return rates
 }
 
+// fillLinks has requests take a share of the link between the regions, in each direction, in bursts.
+func (f *simFleet) fillLinks(share float64) {
+	const interval = 10 * time.Millisecond
+	var fill func()
+	fill = func() {
+		for _, region := range []string{simNorth, simSouth} {
+			f.between[region].send(f.now, int(2*f.random.Float64()*share*simRegionBytesPerSecond*interval.Seconds()))
+		}
+		f.at(f.now.Add(interval), fill)
+	}
+	f.at(f.now, fill)
+}
+
 func (f *simFleet) resetTraffic() {
 	for _, v := range f.vms {
 		v.up.bytes, v.down.bytes = 0, 0
