gateway: a new read of the declarations gives up the last one in the simulation (known red)

Cause: the simulation let a read that was asked for anew run beside the one under way; the store's client gives that one up, and its answer crosses the link for nothing. VMs ask anew 0.6 to 1.6 s after they have heard of a version; copies for 150 far VMs take longer than that once they are over 60 kB or requests take a part of the link. Change: the simulated client gives up as the real one does; a test with 61 kB and a link of which requests take a fifth. No product code.

--- a/gateway/declarations_scale_test.go
+++ b/gateway/declarations_scale_test.go
@@ -61,3 +61,25 @@
 		assert.LessOrEqual(t, took, configTarget)
 	})
 }
+
+// TestFarVMsGiveUpDeclarationsThatAreOnTheirWay guards against far VMs that ask again for declarations whose copies for all of them take
+// the link between the regions for longer than each of them waits, so that what is under way is given up again and again.
+func TestFarVMsGiveUpDeclarationsThatAreOnTheirWay(t *testing.T) {
+	t.Parallel()
+	for _, seed := range simSeeds {
+		for _, size := range simSizes {
+			t.Run(fmt.Sprintf("%d VMs, seed %d", size, seed), func(t *testing.T) {
+				t.Parallel()
+				f := newSimFleet(t, size, size)
+				f.random = rand.New(rand.NewPCG(seed, seed))
+				f.fillLinks(0.2)
+				f.run(4 * time.Second)
+				f.declareRoutes(200)
+				f.configure()
+				took := f.runUntil(20*time.Second, isConfigured(f))
+				t.Logf("%d kB in force after %v", f.configSize/1000, took)
+				assert.LessOrEqual(t, took, configTarget)
+			})
+		}
+	}
+}
--- a/gateway/fleet_simulation_store_test.go
+++ b/gateway/fleet_simulation_store_test.go
@@ -94,12 +94,17 @@
 }
 
 func (f *simFleet) readConfig(v *simVM) {
+	// A new read gives up the last one, whose answer crosses the links all the same.
 	v.configReads++
+	read := v.configReads
 	var d routing.Declarations
 	f.answer(v, func() int {
 		d = f.config
 		return f.configSize
 	}, func() {
+		if read != v.configReads {
+			return
+		}
 		v.configRead = max(v.configRead, d.Version)
 		v.SetDeclarations(d)
 	}, func() {})
