gateway: declarations cross a link between regions for two VMs and are passed on from there

Cause: every VM read every version from the store by itself, so that a link of 60 Mbit/s carried as many copies as the far region has VMs: 150 copies of 60 kB take 1.3 s when nothing else is on it. Whoever had heard of a version asked anew 0.6 to 1.6 s later, gave up the answer that was on its way, and its bytes crossed the link for nothing: once copies take longer than that, none arrives. Change: the first two VMs of a region by precedence keep waiting reads; the others pause theirs and get the declarations, with the evacuated zones, in datagrams along a tree of the readers of the groups and their groups. Who has heard of a version and lacks it asks a VM of its region that tells of it after 0.15 s, the store after 0.6 to 1.6 s by its rank in the region, and then another region. A VM that hears of no check of the store checks by itself, as before. A waiting read whose answer arrives is not given up.

--- a/app/store_source.go
+++ b/app/store_source.go
@@ -43,7 +43,7 @@
 		protocol: platform.Protocol(), readinessPath: platform.ReadinessPath, run: syncer.follow,
 		options: []gateway.Option{gateway.WithDeclarationsRefresh(syncer.refreshDeclarations), gateway.WithListReader(syncer.refreshReplicas),
 			gateway.WithDeclarationsCheck(syncer.checkDeclarations),
-			gateway.WithSharedStore(cfg.Listen.Peers, syncer.refreshCopy), gateway.WithListFeed(syncer.advanceReplicas), gateway.WithStoreDelay(syncer.fastestCall.get)},
+			gateway.WithSharedStore(cfg.Listen.Peers, syncer.refreshCopy), gateway.WithListFeed(syncer.advanceReplicas), gateway.WithDeclarationsFeed(syncer.setDeclarationsReading, syncer.advanceDeclarations), gateway.WithStoreDelay(syncer.fastestCall.get)},
 		reload: func(*gateway.Controller) error { return nil },
 	}, closeClient
 }
@@ -68,8 +68,8 @@
 	copyRefresh chan struct{}
 	// fastestCall is the time that the store's fastest answer has taken.
 	fastestCall minDuration
-	// replicas follows the list of replicas, or is nil before that begins.
-	replicas atomic.Pointer[follow.Follower]
+	// replicas follows the list of replicas, and declarations the operators' records. They are nil before that begins.
+	replicas, declarations atomic.Pointer[follow.Follower]
 }
 
 // newStoreSyncer returns a storeSyncer that lacks its store and eras: what follows a new era is its own.
@@ -95,6 +95,20 @@
 	}
 }
 
+// setDeclarationsReading sets whether the operators' records are read whenever there are new ones.
+func (s *storeSyncer) setDeclarationsReading(reads bool) {
+	if f := s.declarations.Load(); f != nil {
+		f.SetPaused(!reads)
+	}
+}
+
+// advanceDeclarations records that the operators' records are known up to an offset from a peer.
+func (s *storeSyncer) advanceDeclarations(offset, era uint64) {
+	if f := s.declarations.Load(); f != nil {
+		f.Advance(offset, era)
+	}
+}
+
 // refreshCopy triggers an immediate read of the backup copy.
 func (s *storeSyncer) refreshCopy() { notify(s.copyRefresh) }
 
@@ -115,6 +129,7 @@
 		applyDeclarations(control, s.log, b)
 		control.ApplyEvacuations(gateway.NewEvacuationUpdate(b, platform.EvacuatedZone))
 	}, follow.WithWait(declarationsPollTimeout), follow.WithWakeups(s.declarationsRefresh))
+	s.declarations.Store(declarations)
 	replicas := newFollower(platform.TopicReplicas, func(b follow.Batch) {
 		control.ApplyReplicas(gateway.NewReplicaUpdate(b, platform.DecodeReplica))
 	}, follow.WithInterval(replicasReadInterval), follow.WithWakeups(s.replicasRefresh), follow.WithFirstReadOnWakeup(), follow.WithAvailabilityObserver(control.SetStoreReachable))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -75,3 +75,27 @@
 		assert.InDelta(t, total, m.Total()["x"], 1e-9)
 	})
 }
+
+func TestTreeReachesEachVMOnce(t *testing.T) {
+	for _, size := range []int{1, 2, 5, 6, 13, 24, 300, 1700} {
+		var vms []string
+		for n := range size {
+			vms = append(vms, fmt.Sprint("vm-", n))
+		}
+		root := vms[size/2]
+		for _, tree := range [][]string{vms, WithRoot(vms, root)} {
+			told := map[string]int{tree[0]: 1}
+			for _, vm := range tree {
+				children := Children(tree, vm)
+				assert.LessOrEqual(t, len(children), TreeFanOut)
+				for _, child := range children {
+					told[child]++
+					assert.Equal(t, vm, Parent(tree, child))
+				}
+			}
+			for _, vm := range vms {
+				assert.Equal(t, 1, told[vm], "%s of %d", vm, size)
+			}
+		}
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -39,6 +39,9 @@
 // errWokenUp is the cancellation cause of a waiting read that was interrupted by a wakeup.
 var errWokenUp = errors.New("read interrupted by a wakeup")
 
+// errPaused is the cancellation cause of a waiting read that was interrupted since the follower pauses.
+var errPaused = errors.New("read interrupted by a pause")
+
 // Record is a record of a topic. A record without a value marks its key as deleted.
 type Record struct {
 	Key    string
@@ -97,6 +100,9 @@
 	waitFirst bool
 	// advanced is the position of Advance that has not been taken over yet.
 	advanced atomic.Pointer[position]
+	// paused is whether the follower reads at wakeups only. signals tells Run that paused or advanced has changed.
+	paused  atomic.Bool
+	signals chan struct{}
 
 	nextOffset   uint64
 	haveSnapshot bool
@@ -131,7 +137,7 @@
 }
 
 // WithWakeups sets the channel on which newer records are announced. A wakeup ends a pause, and it
-// interrupts a waiting read and makes the follower read a new snapshot.
+// interrupts a waiting read whose answer has not begun to arrive, and makes the follower read a new snapshot.
 func WithWakeups(wakeups <-chan struct{}) Option { return func(f *Follower) { f.wakeups = wakeups } }
 
 // WithFirstReadOnWakeup makes the first read wait for a wakeup: the content of the topic may come from elsewhere.
@@ -147,7 +153,7 @@
 
 // New returns a Follower that calls apply with each batch it reads.
 func New(topic Topic, apply func(Batch), opts ...Option) *Follower {
-	f := &Follower{topic: topic, apply: apply, isExpired: func(error) bool { return false }, log: zap.NewNop(), observe: func(bool) {}, now: time.Now}
+	f := &Follower{topic: topic, apply: apply, isExpired: func(error) bool { return false }, log: zap.NewNop(), observe: func(bool) {}, now: time.Now, signals: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -178,7 +184,25 @@
 
 // Advance tells the follower that the topic up to an offset, which holds in an era, is known from elsewhere, so that the next
 // read begins there. It may be called while Run runs.
-func (f *Follower) Advance(offset, era uint64) { f.advanced.Store(&position{offset, era}) }
+func (f *Follower) Advance(offset, era uint64) {
+	f.advanced.Store(&position{offset, era})
+	f.signal()
+}
+
+// SetPaused sets whether the follower reads at wakeups only, since what is appended becomes known from elsewhere. A pause ends a
+// waiting read. It may be called while Run runs.
+func (f *Follower) SetPaused(paused bool) {
+	if f.paused.Swap(paused) != paused {
+		f.signal()
+	}
+}
+
+func (f *Follower) signal() {
+	select {
+	case f.signals <- struct{}{}:
+	default:
+	}
+}
 
 // takeAdvance takes over the position of Advance if it is further than what has been read.
 func (f *Follower) takeAdvance() {
@@ -187,6 +211,21 @@
 		return
 	}
 	f.haveSnapshot, f.everRead, f.nextOffset, f.era = true, true, to.offset, to.era
+	f.position.Store(to)
+}
+
+// waitWhilePaused returns once the follower may read. A wakeup during a pause asks for a new snapshot.
+func (f *Follower) waitWhilePaused(ctx context.Context) {
+	for f.paused.Load() && f.haveSnapshot && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-f.wakeups:
+			f.haveSnapshot = false
+		case <-f.signals:
+			f.takeAdvance()
+		}
+		f.lastSuccess = f.now()
+	}
 }
 
 // Run reads the topic until ctx is done.
@@ -203,13 +242,14 @@
 	}
 	for ctx.Err() == nil {
 		f.takeAdvance()
+		f.waitWhilePaused(ctx)
 		batch, err := f.fetch(ctx)
 		switch {
 		case err == nil:
 			retry.Reset()
 			f.deliver(batch)
 			f.sleep(ctx, f.jitteredInterval())
-		case ctx.Err() != nil, errors.Is(err, errWokenUp):
+		case ctx.Err() != nil, errors.Is(err, errWokenUp), errors.Is(err, errPaused):
 		case f.isExpired(err), errors.Is(err, errRestored):
 			f.log.Info("topic-reread", zap.String("Topic", f.topic.Name), zap.Uint64("From", f.nextOffset), zap.Uint64("Era", f.era), zap.Error(err))
 			f.haveSnapshot = false
@@ -248,23 +288,35 @@
 	defer cancelOnWakeup(nil)
 	callCtx, cancel := withProgressTimeout(wakeCtx, f.wait+callTimeout)
 	defer cancel()
-	go func() {
-		select {
-		case <-f.wakeups:
-			cancelOnWakeup(errWokenUp)
-		case <-callCtx.Done():
-		}
-	}()
+	go f.interrupt(callCtx, cancelOnWakeup)
 	batch, err := f.readNext(callCtx)
 	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
 		// The read timed out, so the connection may be dead, or a wakeup reported newer records that the read has not
 		// returned. In both cases a new snapshot is read.
-		f.haveSnapshot = false
 		err = context.Cause(callCtx)
+		f.haveSnapshot = errors.Is(err, errPaused)
 	}
 	return batch, err
 }
 
+// interrupt cancels a waiting read when there is a wakeup or a pause begins, until ctx is done. An answer that arrives is not given up.
+func (f *Follower) interrupt(ctx context.Context, cancel context.CancelCauseFunc) {
+	for {
+		select {
+		case <-f.wakeups:
+			if !arrives(ctx) {
+				cancel(errWokenUp)
+			}
+		case <-f.signals:
+			if f.paused.Load() && !arrives(ctx) {
+				cancel(errPaused)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // readNext reads the records from nextOffset onward.
 func (f *Follower) readNext(ctx context.Context) (Batch, error) {
 	found, err := f.topic.Read(ctx, f.nextOffset, f.wait)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// reads returns the number of reads that have begun, but for those of snapshots.
+func (f *fakeTopic) reads() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readCalls
+}
+
 // batchRecorder records the batches that a follower delivers.
 type batchRecorder struct {
 	mu      sync.Mutex
@@ -300,3 +307,84 @@
 	<-done
 	topic.update(func() { assert.Zero(t, topic.newestCalls) })
 }
+
+// TestPausedFollowerReads guards against a follower that goes on asking the store for what becomes known from elsewhere, or that misses
+// what was appended meanwhile.
+func TestPausedFollowerReads(t *testing.T) {
+	newPaused := func(t *testing.T) (*fakeTopic, *Follower, *batchRecorder, chan struct{}) {
+		topic, wakeups := &fakeTopic{}, make(chan struct{}, 1)
+		topic.put("a", "1")
+		f, got := startFollower(t, topic, WithWait(10*time.Second), WithWakeups(wakeups))
+		eventually(t, "waiting read", func() bool { return got.value("a") == "1" && topic.reads() == 1 })
+		f.SetPaused(true)
+		time.Sleep(30 * time.Millisecond)
+		return topic, f, got, wakeups
+	}
+	t.Run("nothing while it pauses", func(t *testing.T) {
+		topic, _, got, _ := newPaused(t)
+		topic.put("a", "2")
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, 1, topic.reads())
+		assert.Equal(t, "1", got.value("a"))
+	})
+	t.Run("at a wakeup", func(t *testing.T) {
+		topic, _, got, wakeups := newPaused(t)
+		topic.put("a", "2")
+		wakeups <- struct{}{}
+		eventually(t, "2", func() bool { return got.value("a") == "2" })
+		time.Sleep(20 * time.Millisecond)
+		assert.Equal(t, 1, topic.reads(), "it pauses again")
+	})
+	t.Run("what was appended during the pause", func(t *testing.T) {
+		topic, f, got, _ := newPaused(t)
+		topic.put("a", "2")
+		f.SetPaused(false)
+		eventually(t, "2", func() bool { return got.value("a") == "2" })
+	})
+	t.Run("from where others know it", func(t *testing.T) {
+		topic, f, got, _ := newPaused(t)
+		topic.put("b", "known")
+		f.Advance(2, 0)
+		time.Sleep(20 * time.Millisecond)
+		upToDate, err := f.UpToDate(t.Context())
+		assert.NoError(t, err)
+		assert.True(t, upToDate)
+		topic.put("c", "new")
+		f.SetPaused(false)
+		eventually(t, "new", func() bool { return got.value("c") == "new" })
+		assert.Empty(t, got.value("b"))
+	})
+}
+
+// TestWakeupGivesUpAnAnswerThatArrives guards against a follower that asks again for what is on its way to it.
+func TestWakeupGivesUpAnAnswerThatArrives(t *testing.T) {
+	wakeups := make(chan struct{}, 1)
+	topic := &fakeTopic{}
+	topic.put("a", "1")
+	started, givenUp := make(chan struct{}, 1), make(chan struct{}, 1)
+	read := func(ctx context.Context, from uint64, wait time.Duration) (Range, error) {
+		RecordProgress(ctx)
+		select {
+		case started <- struct{}{}:
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			givenUp <- struct{}{}
+			return Range{}, ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+		return topic.read(ctx, from, 0)
+	}
+	f := New(Topic{Name: "t", Newest: topic.newest, Read: read}, func(Batch) {}, WithWait(time.Minute), WithWakeups(wakeups))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.Run(ctx)
+	<-started
+	wakeups <- struct{}{}
+	select {
+	case <-givenUp:
+		t.Error("the answer was given up")
+	case <-time.After(60 * time.Millisecond):
+	}
+}
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -39,6 +39,9 @@
 	case peer.ScopeListRequest:
 		c.handleListRequest(b)
 		return
+	case peer.ScopeDeclarations, peer.ScopeDeclarationsRequest:
+		c.handleDeclarationsMessage(b, from)
+		return
 	default:
 		c.handleSummary(b)
 		return
@@ -57,11 +60,25 @@
 	c.recordHeard(now, p, b)
 	c.recordGroupMate(now, p, b)
 	c.feedIfWithoutList(b)
+	c.recordTeller(now, b)
 	c.quotas.ApplyPeerSpent(now, processRun(b.VM, b.Incarnation), b.SpentTokens, afterSilence)
 	c.scheduler.SetPeerUnreachable(now, b.VM, b.UnreachableReplicas)
 	c.applyHints(now, b)
 }
 
+// handleDeclarationsMessage handles a message about declarations, unless its sender is unknown: others must not declare anything.
+func (c *Controller) handleDeclarationsMessage(b peer.Beacon, from netip.AddrPort) {
+	p := c.peers[b.VM]
+	switch {
+	case p == nil || !sameAddress(p.address, from):
+		c.log.Warn("declarations-page-ignored", zap.String("Peer", b.VM), zap.Stringer("Address", from), zap.String("Reason", "the sender is unknown"))
+	case b.Scope == peer.ScopeDeclarations:
+		c.handleDeclarationsPage(b)
+	default:
+		c.handleDeclarationsRequest(b)
+	}
+}
+
 // applyHints applies what a beacon or a summary tells besides spent tokens, members and unreachable replicas.
 func (c *Controller) applyHints(now time.Time, b peer.Beacon) {
 	c.adoptLevels(now, b)
--- a/gateway/catch_up.go
+++ b/gateway/catch_up.go
@@ -14,8 +14,8 @@
 	// catchUpWait is how long a VM that has just got its declarations waits to hear each peer that the store lists. It
 	// is longer than beaconInterval.
 	catchUpWait = 500 * time.Millisecond
-	// groupRefreshWait is how long a VM of a fleet of several regions waits for its waiting read once it has heard of newer
-	// declarations. Each VM of the group that comes before adds groupRefreshStagger, up to maxGroupRefreshStagger.
+	// groupRefreshWait is how long a VM of a fleet of several regions waits for newer declarations of which it has heard, before it
+	// reads them in the store. Each VM of the region that comes before adds groupRefreshStagger, up to maxGroupRefreshStagger.
 	groupRefreshWait       = 600 * time.Millisecond
 	groupRefreshStagger    = 80 * time.Millisecond
 	maxGroupRefreshStagger = time.Second
@@ -118,14 +118,13 @@
 	}
 }
 
-// refreshWait returns how long this VM waits for new declarations on its waiting read, after a peer has told of them, before it reads
-// them once more. In fleets whose groups are told by summaries all VMs of a region hear of them at about the same time, and their
-// reads, let alone second ones, share a link.
+// refreshWait returns how long this VM waits for new declarations, after a peer has told of them, before it reads them in the store. In
+// fleets that are divided into groups all VMs of a region hear of them at about the same time, and their reads share a link.
 func (c *Controller) refreshWait() time.Duration {
 	if c.groups == nil {
 		return 0
 	}
-	return groupRefreshWait + min(time.Duration(c.groupRank())*groupRefreshStagger, maxGroupRefreshStagger)
+	return groupRefreshWait + min(time.Duration(c.regionRank)*groupRefreshStagger, maxGroupRefreshStagger)
 }
 
 // copyWait returns how long this VM reads the declarations for before it reads the copy, which is larger.
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -49,6 +49,10 @@
 	readList            func()
 	// advanceList is told up to where the list of replicas has become known from a peer, or nil.
 	advanceList func(offset, era uint64)
+	// setDeclarationsReading is told whether this VM keeps a waiting read of the declarations, or nil, and advanceDeclarations up to
+	// where the operators' records have become known from a peer.
+	setDeclarationsReading func(bool)
+	advanceDeclarations    func(offset, era uint64)
 	// storeDelay returns how long the fastest call to the store has taken, or 0.
 	storeDelay func() time.Duration
 	// storeLost is whether the last read of the list of replicas has failed. Only the control goroutine accesses it.
@@ -74,7 +78,10 @@
 	peers      map[string]*peerState
 	replicas   replicaList
 	feed       listFeed
-	streams    *resumption.Tracker
+	// declarations passes the declarations on. regionRank is the number of VMs of the region that take precedence over this one.
+	declarations declarationFeed
+	regionRank   int
+	streams      *resumption.Tracker
 	// streamsBegun is signaled when streams have begun that are to be written to the store.
 	streamsBegun chan struct{}
 	limits       *quota.ReplicaLimits
@@ -175,13 +182,15 @@
 	c.pushListIfDue(now)
 	c.answerListRequestIfDue(now)
 	c.checkDeclarationsIfDue(now)
+	c.requestDeclarationsIfDue(now)
+	c.passDeclarationsOn(c.self.VM)
 	c.sendBeaconIfDue(now)
 	return c.nextWake(now)
 }
 
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
-	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.pushDueIn(now), c.feed.queue.dueIn(now), c.declarationsCheckDueIn(now))
+	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.pushDueIn(now), c.feed.queue.dueIn(now), c.declarationsCheckDueIn(now), c.declarationsRequestDueIn(now))
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
 	}
@@ -197,26 +206,28 @@
 // SetDeclarations puts declarations in force, unless their version is not newer than the current one.
 func (c *Controller) SetDeclarations(d routing.Declarations) {
 	table := routing.NewTable(d)
-	c.post(func() {
-		current := c.table.Load()
-		if current != nil && d.Version <= current.Version {
-			if d.Version < current.Version {
-				c.log.Warn("declarations-ignored", zap.Uint64("Version", d.Version), zap.Uint64("InForce", current.Version))
-			}
-			return
-		}
-		c.table.Store(table)
-		c.peersChanged = c.peersChanged || !c.catchUp.done
-		c.scheduler.SetPools(d.Pools)
-		c.configureQuotas(d.Accounts)
-		c.configureStreams(d.Routes)
-		c.metrics.Version.Set(float64(d.Version))
-		for _, observe := range c.observers {
-			observe()
+	c.post(func() { c.setDeclarations(table) })
+}
+
+func (c *Controller) setDeclarations(table *routing.Table) {
+	d, current := table.Declarations, c.table.Load()
+	if current != nil && d.Version <= current.Version {
+		if d.Version < current.Version {
+			c.log.Warn("declarations-ignored", zap.Uint64("Version", d.Version), zap.Uint64("InForce", current.Version))
 		}
-		c.log.Info("declarations-in-force", zap.Uint64("Version", d.Version), zap.Int("Routes", len(d.Routes)), zap.Int("Pools", len(d.Pools)),
-			zap.Int("Accounts", len(d.Accounts)))
-	})
+		return
+	}
+	c.table.Store(table)
+	c.peersChanged = c.peersChanged || !c.catchUp.done
+	c.scheduler.SetPools(d.Pools)
+	c.configureQuotas(d.Accounts)
+	c.configureStreams(d.Routes)
+	c.metrics.Version.Set(float64(d.Version))
+	for _, observe := range c.observers {
+		observe()
+	}
+	c.log.Info("declarations-in-force", zap.Uint64("Version", d.Version), zap.Int("Routes", len(d.Routes)), zap.Int("Pools", len(d.Pools)),
+		zap.Int("Accounts", len(d.Accounts)))
 }
 
 // onDeclarations registers a function that runs on the control goroutine whenever new declarations take effect.
--- a/gateway/declarations_scale_test.go
+++ b/gateway/declarations_scale_test.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 )
 
+// configBound is the time within which declarations are in force in the users' largest deployment of two regions, whatever fails.
+const configBound = 4 * time.Second
+
 // simSeeds are the seeds of simulations in which requests fill the link between the regions at random.
 var simSeeds = []uint64{1, 2, 3, 4, 5}
 
@@ -83,3 +88,138 @@
 		}
 	}
 }
+
+// inForceAt returns a condition for all VMs but those that a test has taken the store from.
+func inForceAt(f *simFleet) func(*simVM) bool {
+	return func(v *simVM) bool { return v.cutFromStore || v.version() == f.config.Version }
+}
+
+// farReaders returns the VMs of the region far from the store in the order in which they read for it.
+func farReaders(f *simFleet) []*simVM {
+	var far []*simVM
+	for _, v := range f.vms {
+		if v.region == simSouth {
+			far = append(far, v)
+		}
+	}
+	slices.SortFunc(far, func(a, b *simVM) int { return cmp.Compare(a.self.VM, b.self.VM) })
+	return far
+}
+
+// TestRegionWaitsForReadersThatFail guards against a region that gets no declarations while those that read them for it get no answers,
+// or have frozen, and their beacons are still believed.
+func TestRegionWaitsForReadersThatFail(t *testing.T) {
+	t.Parallel()
+	forEachSize(t, func(t *testing.T, f *simFleet) {
+		far := farReaders(f)
+		change := func(what string) {
+			f.run(500 * time.Millisecond)
+			f.configure()
+			took := f.runUntil(2*configBound, inForceAt(f))
+			t.Logf("%s: in force after %v", what, took)
+			assert.LessOrEqual(t, took, configBound, what)
+		}
+		change("calm")
+		for n, v := range far[:4] {
+			v.cutFromStore = true
+			change(fmt.Sprintf("%d readers without answers", n+1))
+		}
+		for _, v := range far[:4] {
+			v.cutFromStore = false
+		}
+		f.run(3 * time.Second)
+		change("with answers again")
+		for n, v := range far[:3] {
+			f.freeze(v)
+			change(fmt.Sprintf("%d readers frozen", n+1))
+		}
+		for _, v := range far[:3] {
+			f.thaw(v)
+		}
+		change("thawed")
+	})
+}
+
+// TestVMThatHearsNoPeerMissesDeclarations guards against a VM that waits for others to tell it of declarations while it is cut off from
+// all of them, and still reaches the store.
+func TestVMThatHearsNoPeerMissesDeclarations(t *testing.T) {
+	t.Parallel()
+	forEachSize(t, func(t *testing.T, f *simFleet) {
+		far := farReaders(f)
+		alone := far[len(far)/2]
+		alone.cutFromPeers = true
+		for n := range 4 {
+			f.run(time.Duration(n) * 400 * time.Millisecond)
+			f.configure()
+			took := f.runUntil(2*configBound, isConfigured(f))
+			t.Logf("in force after %v", took)
+			assert.LessOrEqual(t, took, configBound)
+		}
+		alone.cutFromPeers = false
+		f.run(3 * time.Second)
+		assert.False(t, alone.waitsForConfig, "others read for it again")
+	})
+}
+
+// TestLostDatagramsHoldBackDeclarations guards against VMs that wait for a message which was lost.
+func TestLostDatagramsHoldBackDeclarations(t *testing.T) {
+	t.Parallel()
+	forEachSize(t, func(t *testing.T, f *simFleet) {
+		f.loss = 0.2
+		before := f.configReadsOfAll()
+		for range 3 {
+			f.configure()
+			took := f.runUntil(2*configBound, isConfigured(f))
+			t.Logf("in force after %v", took)
+			assert.LessOrEqual(t, took, configBound)
+			f.run(time.Second)
+		}
+		reads := f.configReadsOfAll() - before
+		t.Logf("%d reads", reads)
+		assert.LessOrEqual(t, reads, len(f.vms)/2, "others have them")
+	})
+}
+
+// TestDeclarationsOfAnOlderStoreAreToldAgain guards against VMs that take declarations for new which a store holds that has come back
+// from an older copy.
+func TestDeclarationsOfAnOlderStoreAreToldAgain(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 30, 30)
+	f.run(4 * time.Second)
+	f.config.Version = 70
+	f.configure()
+	f.run(configBound)
+	older := f.config
+	older.Version = 12
+	f.config = older
+	for _, v := range f.vms {
+		f.readConfig(v)
+	}
+	f.run(configBound)
+	for _, v := range f.vms {
+		assert.EqualValues(t, 71, v.version(), v.self.VM)
+	}
+	f.config.Version = 95
+	f.configure()
+	assert.LessOrEqual(t, f.runUntil(2*configBound, isConfigured(f)), configTarget, "versions increase in uneven steps")
+}
+
+// TestEvacuationIsToldWithTheDeclarations guards against VMs that leave the operators' records to others, which tell them of declarations
+// only.
+func TestEvacuationIsToldWithTheDeclarations(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 79, 79)
+	f.run(4 * time.Second)
+	evacuated := func(v *simVM) bool { return v.zones.evacuated["b-north-2"] }
+	f.configNext++
+	next := f.configNext
+	for _, v := range f.vms {
+		if v.waitsForConfig {
+			v.ApplyEvacuations(EvacuationUpdate{Requested: map[string]bool{"b-north-2": true}, Next: next})
+			f.runTasks(v)
+		}
+	}
+	took := f.runUntil(2*configBound, evacuated)
+	t.Logf("in force after %v", took)
+	assert.LessOrEqual(t, took, configTarget)
+}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -19,8 +19,10 @@
 	// them that changed evacuated. everRead is whether they have been read since the process started.
 	next, changed listPosition
 	everRead      bool
-	// refreshedAt is when a read was last triggered because a peer has read a later change.
-	refreshedAt time.Time
+	// heard is a later change that a peer has read, first heard of at heardAt, and refreshedAt when a read was last triggered because
+	// of one.
+	heard                listPosition
+	heardAt, refreshedAt time.Time
 }
 
 // WithRegions sets the region of each availability zone.
@@ -91,6 +93,20 @@
 	})
 }
 
+// adoptEvacuations puts the evacuated zones in force that another VM knows, which has read the operators' records up to next and found
+// the last change before changed.
+func (c *Controller) adoptEvacuations(names []string, next, changed listPosition) {
+	evacuated := map[string]bool{}
+	for _, zone := range names {
+		evacuated[zone] = true
+	}
+	c.zones.everRead, c.zones.next = true, next
+	if changed.after(c.zones.changed) {
+		c.zones.changed = changed
+	}
+	c.setEvacuated(evacuated, changed)
+}
+
 // restoreEvacuations puts the evacuations of the backup copy in force, unless the operators' records have been read.
 func (c *Controller) restoreEvacuations(names []string) {
 	c.post(func() {
@@ -132,7 +148,14 @@
 // VM has not. The answer to this VM's waiting read may be lost.
 func (c *Controller) refreshIfEvacuationsChanged(now time.Time, b peer.Beacon) {
 	changed := listPosition{b.EvacuationsEra, b.EvacuationsOffset}
-	if !changed.after(c.zones.next) || now.Sub(c.zones.refreshedAt) < minRefreshInterval {
+	if !changed.after(c.zones.next) {
+		return
+	}
+	if !c.zones.heard.after(c.zones.next) {
+		c.zones.heardAt = now
+	}
+	c.zones.heard = changed
+	if now.Sub(c.zones.refreshedAt) < minRefreshInterval || now.Sub(c.zones.heardAt) < c.refreshWait() {
 		return
 	}
 	c.zones.refreshedAt = now
--- a/gateway/fleet_scale_test.go
+++ b/gateway/fleet_scale_test.go
@@ -223,13 +223,7 @@
 func TestEachVMReadsNewDeclarationsAgainAndAgain(t *testing.T) {
 	t.Parallel()
 	forEachSize(t, func(t *testing.T, f *simFleet) {
-		count := func() (total int) {
-			for _, v := range f.vms {
-				total += v.configReads
-			}
-			return total
-		}
-		before := count()
+		before := f.configReadsOfAll()
 		const versions = 3
 		for range versions {
 			f.configure()
@@ -237,7 +231,7 @@
 			assert.LessOrEqual(t, took, configTarget)
 			f.run(2 * time.Second)
 		}
-		reads := float64(count()-before) / versions / float64(len(f.vms))
+		reads := float64(f.configReadsOfAll()-before) / versions / float64(len(f.vms))
 		t.Logf("%.2f reads of a version by a VM", reads)
 		assert.Less(t, reads, 1.1, "the waiting read is enough")
 	})
--- a/gateway/fleet_simulation_store_test.go
+++ b/gateway/fleet_simulation_store_test.go
@@ -98,18 +98,27 @@
 	v.configReads++
 	read := v.configReads
 	var d routing.Declarations
+	var next uint64
 	f.answer(v, func() int {
-		d = f.config
+		d, next = f.config, f.configNext
 		return f.configSize
 	}, func() {
 		if read != v.configReads {
 			return
 		}
-		v.configRead = max(v.configRead, d.Version)
 		v.SetDeclarations(d)
+		v.ApplyEvacuations(EvacuationUpdate{Snapshot: true, Next: next})
 	}, func() {})
 }
 
+// setWaiting sets whether a VM keeps a waiting read of the declarations. What it has missed is read at once.
+func (f *simFleet) setWaiting(v *simVM, waits bool) {
+	v.waitsForConfig = waits
+	if waits && v.version() < f.config.Version {
+		f.readConfig(v)
+	}
+}
+
 // check answers whether there are newer declarations.
 func (f *simFleet) check(v *simVM) {
 	var version uint64
@@ -119,7 +128,7 @@
 	}, func() {
 		f.checkedAt = f.now
 		v.RecordDeclarationsCheck()
-		if version > v.configRead {
+		if version > v.version() {
 			f.readConfig(v)
 		}
 	}, func() {})
@@ -138,11 +147,14 @@
 	f.configSize = len(data)
 }
 
-// configure writes new declarations. The waiting reads of all VMs are answered.
+// configure writes new declarations. All waiting reads are answered.
 func (f *simFleet) configure() {
 	f.config.Version++
+	f.configNext++
 	for _, v := range f.vms {
-		f.readConfig(v)
+		if v.waitsForConfig {
+			f.readConfig(v)
+		}
 	}
 }
 
@@ -169,3 +181,12 @@
 	}
 	f.at(f.now, change)
 }
+
+// configReadsOfAll returns how often VMs have read the declarations.
+func (f *simFleet) configReadsOfAll() int {
+	reads := 0
+	for _, v := range f.vms {
+		reads += v.configReads
+	}
+	return reads
+}
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -50,6 +50,8 @@
 	// held holds what arrives while the VM is frozen.
 	held   []func()
 	frozen bool
+	// cutFromPeers is whether no message reaches this VM or leaves it.
+	cutFromPeers bool
 	// cutFromStore is whether reads of the store fail, listNext the offset that its next read of the list starts at.
 	cutFromStore bool
 	listNext     uint64
@@ -57,8 +59,9 @@
 	listReads    int
 	// reading is whether a read of the list is in flight, and readAgain whether another one has been asked for meanwhile.
 	reading, readAgain bool
-	configRead         uint64
-	configReads        int
+	// waitsForConfig is whether this VM keeps a waiting read of the declarations.
+	waitsForConfig bool
+	configReads    int
 }
 
 // simFleet runs the control state of VMs in simulated time, with links of limited rate and a store.
@@ -79,6 +82,8 @@
 	// config holds the newest declarations, of which each answer of the store holds configSize bytes.
 	config     routing.Declarations
 	configSize int
+	// configNext is the offset after the last of the operators' records.
+	configNext uint64
 	// listed is the number of replicas at the start, and rewrites how many entries have been rewritten until rewrittenAt.
 	listed      int
 	rewrites    float64
@@ -137,7 +142,7 @@
 		}
 		v.groups.layoutOutdated = true
 		v.SetDeclarations(f.config)
-		v.configRead = 1
+		v.ApplyEvacuations(EvacuationUpdate{Snapshot: true, Next: f.configNext})
 		f.wakeAt(v, f.now.Add(time.Duration(len(v.self.VM)*7)*time.Millisecond))
 		f.every(v, 100*time.Millisecond)
 	}
@@ -164,10 +169,11 @@
 
 func (f *simFleet) addVM(name, zone string, regions map[string]string) {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(f.vms) / 250), byte(1 + len(f.vms)%250)}), 7500)
-	v := &simVM{zone: zone, region: regions[zone], address: addr, up: simLink{rate: simVMBytesPerSecond}, down: simLink{rate: simVMBytesPerSecond}}
+	v := &simVM{waitsForConfig: true, zone: zone, region: regions[zone], address: addr, up: simLink{rate: simVMBytesPerSecond}, down: simLink{rate: simVMBytesPerSecond}}
 	v.Controller = NewController(peer.Identity{VM: name, Incarnation: "x"}, zone, func(c *Controller) { c.now = func() time.Time { return f.now } }, WithRegions(regions),
 		WithBeaconSender(func(b peer.Beacon, to []*net.UDPAddr) error { return f.sendBeacon(v, b, to) }),
 		WithDeclarationsRefresh(func() { f.readConfig(v) }), WithListReader(func() { f.readList(v) }), WithDeclarationsCheck(func() { f.check(v) }),
+		WithDeclarationsFeed(func(reads bool) { f.setWaiting(v, reads) }, func(uint64, uint64) {}),
 		WithStoreDelay(func() time.Duration { return f.storeDelay(v.region) }),
 		WithListFeed(func(offset, _ uint64) { v.listNext, v.listSnapshot = max(v.listNext, offset), true }))
 	v.Controller.address = addr.String()
@@ -277,7 +283,7 @@
 	f.checkAges(v, b)
 	for _, addr := range to {
 		other := f.byAddr[addr.AddrPort()]
-		if f.random.Float64() < f.loss {
+		if f.random.Float64() < f.loss || v.cutFromPeers || other.cutFromPeers {
 			continue
 		}
 		if at, ok := f.transfer(&v.up, &other.down, v.region, other.region, len(data), true); ok {
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -216,7 +216,15 @@
 
 // newListMessage returns a message about the list that tells nothing else.
 func (c *Controller) newListMessage(scope peer.Scope, page *peer.ListPage) peer.Beacon {
-	return peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Scope: scope, List: page, ListAge: -time.Millisecond, CheckAge: -time.Millisecond}
+	message := c.newMessage(scope)
+	message.List = page
+	return message
+}
+
+// newMessage returns a message for single VMs, which tells of nothing but the declarations in force.
+func (c *Controller) newMessage(scope peer.Scope) peer.Beacon {
+	return peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Scope: scope, Version: c.version(), EvacuationsEra: c.zones.changed.era, EvacuationsOffset: c.zones.changed.offset,
+		ListAge: -time.Millisecond, CheckAge: -time.Millisecond}
 }
 
 func (c *Controller) addressesOf(names []string) []peerAddress {
--- a/gateway/list_queue_test.go
+++ b/gateway/list_queue_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -33,23 +32,3 @@
 		assert.LessOrEqual(t, q.dueIn(now.Add(time.Second/2)), time.Duration(0))
 	})
 }
-
-func TestTreeReachesEachVMOnce(t *testing.T) {
-	for _, size := range []int{1, 2, 5, 6, 13, 24, 300, 1700} {
-		var names []string
-		for n := range size {
-			names = append(names, fmt.Sprint("vm-", n))
-		}
-		told := map[string]int{names[0]: 1}
-		for n := range names {
-			children := childrenOf(n, names)
-			assert.LessOrEqual(t, len(children), listFanOut)
-			for _, child := range children {
-				told[child]++
-			}
-		}
-		for _, name := range names {
-			assert.Equal(t, 1, told[name], "%s of %d", name, size)
-		}
-	}
-}
--- a/gateway/list_readers.go
+++ b/gateway/list_readers.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cassiabridge/cassiabridge/fleet"
 )
 
 const (
@@ -13,8 +15,6 @@
 	// news of it has reached other groups. The others are patient for otherTakeoverPatience longer, and their groups' readers come first.
 	firstTakeovers        = 5
 	otherTakeoverPatience = 600 * time.Millisecond
-	// listFanOut is the number of VMs of its group, and of readers of other groups, that a VM tells of changes of the list.
-	listFanOut = 4
 	// storeUnreachable is the distance of a VM whose reads of the list fail.
 	storeUnreachable = 1 << 20
 )
@@ -101,18 +101,9 @@
 // VM reads it for all.
 func (c *Controller) listProvider() string {
 	if !c.readsForGroup() {
-		return parentOf(c.self.VM, c.byPrecedence(append(slices.Clone(c.currentGroups().mates), c.self.VM)))
-	}
-	return parentOf(c.self.VM, c.byPrecedence(append(c.otherReaders(), c.self.VM)))
-}
-
-// parentOf returns the VM above another one in a tree of names, or an empty string for the first.
-func parentOf(name string, names []string) string {
-	index := slices.Index(names, name)
-	if index <= 0 {
-		return ""
+		return fleet.Parent(c.groupByPrecedence(), c.self.VM)
 	}
-	return names[(index-1)/listFanOut]
+	return fleet.Parent(c.byPrecedence(append(c.otherReaders(), c.self.VM)), c.self.VM)
 }
 
 // listReceivers returns the VMs that this VM tells of changes of the list. The readers of the groups form a tree below the one that
@@ -123,20 +114,13 @@
 	if tookOver && !c.readsForFleet() {
 		return append(slices.Clone(g.mates), c.otherReaders()...)
 	}
-	receivers := childrenOf(c.groupRank(), c.byPrecedence(append(slices.Clone(g.mates), c.self.VM)))
+	receivers := fleet.Children(c.groupByPrecedence(), c.self.VM)
 	if c.readsForGroup() {
-		readers := c.byPrecedence(append(c.otherReaders(), c.self.VM))
-		receivers = append(receivers, childrenOf(slices.Index(readers, c.self.VM), readers)...)
+		receivers = append(receivers, fleet.Children(c.byPrecedence(append(c.otherReaders(), c.self.VM)), c.self.VM)...)
 	}
 	return receivers
 }
 
-// childrenOf returns the VMs below the one at an index in a tree with listFanOut branches at each, which holds names level by level.
-func childrenOf(index int, names []string) []string {
-	from := min(listFanOut*index+1, len(names))
-	return names[from:min(from+listFanOut, len(names))]
-}
-
 // otherReaders returns the readers of the other groups.
 func (c *Controller) otherReaders() []string {
 	var readers []string
@@ -148,6 +132,11 @@
 	return readers
 }
 
+// groupByPrecedence returns the VMs of this VM's group that are heard and stay, and this one, in order of precedence.
+func (c *Controller) groupByPrecedence() []string {
+	return c.byPrecedence(append(slices.Clone(c.currentGroups().mates), c.self.VM))
+}
+
 // byPrecedence returns those of some VMs that are heard and stay, and this one, in order of precedence.
 func (c *Controller) byPrecedence(names []string) []string {
 	distanceOf := func(name string) int {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -129,7 +129,7 @@
 // the quotas, the replicas' limits and the retry budget are divided, this VM's rank among those that read the replica list,
 // and whether it has caught up with its peers.
 func (c *Controller) updatePeers(now time.Time) {
-	count, silent, rank, startedTogether, reportedCount := 0, 0, 0, 0, 0
+	count, silent, rank, regionRank, startedTogether, reportedCount := 0, 0, 0, 0, 0, 0
 	c.updateOutsidePeers(now)
 	versions := peerVersions{complete: c.vmListRead}
 	var active, members []string
@@ -148,6 +148,9 @@
 		}
 		if c.takesPrecedence(name, p) {
 			rank++
+			if c.sharesRegion(p) {
+				regionRank++
+			}
 		}
 		if since > peerExpiry || p.silent && p.leaving {
 			continue
@@ -178,7 +181,7 @@
 	c.limits.SetPeers(now, active)
 	c.cold.SetMembers(now, members, c.fleetListed)
 	c.listSchedule.rank, c.listSchedule.vmCount = rank, count+1
-	c.declarationChecks.rank = rank
+	c.declarationChecks.rank, c.regionRank = rank, regionRank
 	c.listSchedule.readers, c.listSchedule.staleWait, c.listSchedule.patience = c.listReaders(), c.listChangeWait(), c.takeoverPatience()
 	c.scheduler.SetVMCount(count + 1)
 	c.updateQuotaShares(now, known, count, silent, startedTogether)
@@ -186,6 +189,7 @@
 		c.budget.setVMCount(count + 1)
 	}
 	c.updateCatchUp(now, versions)
+	c.updateDeclarationsReading()
 }
 
 // updateQuotaShares tells the quotas how many VMs share them: count peers, of which silent ones are not heard and
--- a/gateway/summaries.go
+++ b/gateway/summaries.go
@@ -218,6 +218,7 @@
 	c.peersChanged = c.peersChanged || len(members) != len(known.members) || known.lost
 	*known = remoteGroup{sender: b.VM, run: run, sequence: b.Sequence, heardAt: now, members: members, receivers: receivers, version: b.Version}
 	c.applyUnreachable(now, name, b.UnreachableReports)
+	c.recordTeller(now, b)
 	b.VM = name
 	c.applyHints(now, b)
 }
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -33,6 +33,10 @@
 	// list after ListNext.
 	ScopeList        Scope = "List"
 	ScopeListRequest Scope = "ListRequest"
+	// ScopeDeclarations is the scope of a page of the declarations, ScopeDeclarationsRequest that of a VM's request for declarations
+	// newer than Version.
+	ScopeDeclarations        Scope = "Declarations"
+	ScopeDeclarationsRequest Scope = "DeclarationsRequest"
 )
 
 // Member is a VM of which a summary tells.
@@ -59,6 +63,8 @@
 	Scope            Scope
 	// List is set in a page of the list of replicas, which tells nothing else.
 	List *ListPage
+	// Declarations is set in a page of the declarations, which tells nothing else.
+	Declarations *DeclarationsPage
 	// Forwarded is whether a summary was passed on by a VM of the receiver's group, which has sent it to the whole group.
 	Forwarded bool
 	// Members holds the VMs of which a summary tells, those that are heard. It is nil in the beacon of one VM.
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -25,6 +25,7 @@
 	Scope           Scope                     `json:",omitempty"`
 	Forwarded       bool                      `json:",omitempty"`
 	List            *listMessage              `json:",omitempty"`
+	Declarations    *declarationsMessage      `json:",omitempty"`
 	Members         []memberMessage           `json:",omitempty"`
 	Reports         map[string]int            `json:",omitempty"`
 	VMCount         int                       `json:",omitempty"`
@@ -152,10 +153,11 @@
 		Loads:          mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
 		Suspects:       mapValues(b.Suspects, func(e quarantine.Evidence) suspectMessage { return suspectMessage(e) }),
 		EvacuationsEra: b.EvacuationsEra, Evacuations: b.EvacuationsOffset,
-		ColdMillis: mapValues(b.ColdReplicas, time.Duration.Milliseconds),
-		Services:   mapValues(b.ServiceLoads, newServiceLoadMessage),
-		Calls:      newCallsMessages(b.ServiceCalls),
-		Limits:     mapValues(b.ReplicaLimits, func(r quota.LimitReport) limitMessage { return limitMessage{r.Limit, r.Age.Milliseconds()} }),
+		Declarations: (*declarationsMessage)(b.Declarations),
+		ColdMillis:   mapValues(b.ColdReplicas, time.Duration.Milliseconds),
+		Services:     mapValues(b.ServiceLoads, newServiceLoadMessage),
+		Calls:        newCallsMessages(b.ServiceCalls),
+		Limits:       mapValues(b.ReplicaLimits, func(r quota.LimitReport) limitMessage { return limitMessage{r.Limit, r.Age.Milliseconds()} }),
 	}
 }
 
@@ -214,6 +216,6 @@
 	if err != nil {
 		return Beacon{}, &Error{Op: "decode beacon", Kind: ErrFailed, Err: err}
 	}
-	b.List = page
+	b.List, b.Declarations = page, m.Declarations.page()
 	return b, nil
 }
