--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -60,10 +60,27 @@
 	return src, func() {}, err
 }
 
+// gatewayOptions are what tests may replace of a gateway.
+type gatewayOptions struct {
+	dialUpstream exchange.Dial
+}
+
+// GatewayOption configures ServeGateway.
+type GatewayOption func(*gatewayOptions)
+
+// WithUpstreamDial sets the function that opens connections to upstreams.
+func WithUpstreamDial(dial exchange.Dial) GatewayOption {
+	return func(o *gatewayOptions) { o.dialUpstream = dial }
+}
+
 // ServeGateway serves routes by host and path until ctx is done, and then shuts down gracefully: requests in flight are
 // completed. It returns an *Error if they take longer than the grace period. reload is called on each of reloadSignals and
 // returns the settings as read again.
-func ServeGateway(ctx context.Context, cfg settings.Settings, log *zap.Logger, gatewayMetrics *metrics.Gateway, reloadSignals <-chan os.Signal, reload func() (settings.Settings, error)) error {
+func ServeGateway(ctx context.Context, cfg settings.Settings, log *zap.Logger, gatewayMetrics *metrics.Gateway, reloadSignals <-chan os.Signal, reload func() (settings.Settings, error), opts ...GatewayOption) error {
+	own := gatewayOptions{dialUpstream: exchange.DirectDial}
+	for _, opt := range opts {
+		opt(&own)
+	}
 	if cfg.Gateway.Memory > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(cfg.Gateway.Memory) * (1 << 20)))
 	}
@@ -100,7 +117,7 @@
 	defer stopBackground()
 
 	failed := make(chan error, 3)
-	upstreams, closeUpstreams := exchange.NewClient(exchange.WithDialObserver(func(string) { gatewayMetrics.Connections.Inc() }))
+	upstreams, closeUpstreams := exchange.NewClient(exchange.WithDial(own.dialUpstream), exchange.WithDialObserver(func(string) { gatewayMetrics.Connections.Inc() }))
 	defer closeUpstreams()
 	server := gateway.NewServer(control, src.protocol, upstreams, rand.Float64, maxBodyMemory(cfg))
 	stopCallers, err := whenPortFree(ctx, log, cfg.Listen.Callers, func() (func(context.Context) error, error) {
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -89,7 +89,7 @@
 
 // Client sends requests to upstreams and reuses idle connections. It is safe for concurrent use.
 type Client struct {
-	dial        func(ctx context.Context, network, addr string) (net.Conn, error)
+	dial        Dial
 	dialTimeout time.Duration
 	now         func() time.Time
 	onDial      func(addr string)
@@ -104,13 +104,24 @@
 // WithDialTimeout sets the timeout for opening a connection.
 func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
 
+// Dial opens a connection to an address, an IP address and port.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// DirectDial opens a connection whose peer is given up within seconds once it stops responding.
+func DirectDial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}}
+	return dialer.DialContext(ctx, network, addr)
+}
+
+// WithDial sets the function that opens connections. The default is DirectDial.
+func WithDial(dial Dial) Option { return func(c *Client) { c.dial = dial } }
+
 // WithDialObserver sets a function that is called before each attempt to open a connection.
 func WithDialObserver(f func(addr string)) Option { return func(c *Client) { c.onDial = f } }
 
 // NewClient returns a Client and a function that closes its idle connections.
 func NewClient(opts ...Option) (*Client, func()) {
-	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}}
-	c := &Client{dial: dialer.DialContext, dialTimeout: defaultDialTimeout, now: time.Now, onDial: func(string) {}, idle: map[string][]*conn{}}
+	c := &Client{dial: DirectDial, dialTimeout: defaultDialTimeout, now: time.Now, onDial: func(string) {}, idle: map[string][]*conn{}}
 	for _, opt := range opts {
 		opt(c)
 	}
