relay: connections to replicas are opened through peers while a VM has no way of its own

Cause: a VM knew no other way to a replica than its own. It dialed one after the other for 300 ms each, ejected them for 1 to 4 s, and forgot. Change: package relay. A connection is dialed directly, and through a peer as well once that has had no answer for 100 ms or has failed; what is open first is used. A replica that a peer reaches and this VM does not is evidence: from two such replicas on, with none reached since, the VM counts as cut off, asks peers first, says so in its beacons and opens no connections for others; one attempt in 300 ms probes the direct way beside the peer's, and two in a row end the state. Peers are asked by distance and at random, the next one after 60 ms; a replica counts as gone only if two peers do not reach it, and as ended only if it refuses two of them, so that a cut VM ejects and quarantines nothing. Failures held against replicas before are forgotten. A relayed connection carries one request, to listed replicas and for listed VMs only, is never passed on, ends as the replica ended it (a reset stays one) and counts in the drain of both VMs. All decisions stay with the VM that received the request, so that retries, rates, places and at-most-once are counted where they were. Ruled out: handing the request itself to a peer (its answer can be lost once more, all counts are shared by two VMs); not being ready (moves only new channels, and fails when a whole zone is cut).

--- a/app/serve_gateway.go
+++ b/app/serve_gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/peer"
 	"github.com/cassiabridge/cassiabridge/quota"
+	"github.com/cassiabridge/cassiabridge/relay"
 	"github.com/cassiabridge/cassiabridge/settings"
 )
 
@@ -92,7 +93,14 @@
 	defer closeSource()
 
 	var beacons beaconListener
-	options := append(src.options, gateway.WithLogger(log), gateway.WithMetrics(gatewayMetrics),
+	var control *gateway.Controller
+	var upstreams *exchange.Client
+	paths := relay.NewPaths(func(cutOff bool, lost int) {
+		control.SetCutOff(cutOff, lost)
+		// What is sent on a connection that was opened before would be lost.
+		upstreams.CloseIdle()
+	})
+	options := append(src.options, gateway.WithPathCheck(func(addr string) bool { return paths.Lost(time.Now(), addr) }), gateway.WithLogger(log), gateway.WithMetrics(gatewayMetrics),
 		gateway.WithRetryBudget(cfg.Gateway.RetryRatio, cfg.Gateway.RetrySlack, time.Duration(cfg.Gateway.RetryWindow)*time.Millisecond),
 		gateway.WithBeaconSender(func(b peer.Beacon, to []*net.UDPAddr) error { return beacons.socket.Send(b, to) }))
 	if len(cfg.Gateway.Regions) > 0 {
@@ -101,7 +109,7 @@
 	if cfg.Gateway.ColdOverrun > 0 {
 		options = append(options, gateway.WithColdTolerance(quota.ColdTolerance{Overrun: cfg.Gateway.ColdOverrun, Slack: cfg.Gateway.ColdSlack}))
 	}
-	control := gateway.NewController(self, cfg.AvailabilityZone, options...)
+	control = gateway.NewController(self, cfg.AvailabilityZone, options...)
 	beacons, err = whenPortFree(ctx, log, cfg.Listen.Peers, func() (beaconListener, error) {
 		socket, closeSocket, err := peer.ListenBeacons(cfg.Listen.Peers, control.HandleBeacon, func(err error) { log.Warn("beacon-rejected", zap.Error(err)) },
 			peer.WithTrafficObserver(func(direction peer.Direction, scope peer.Scope, bytes int) {
@@ -113,11 +121,21 @@
 		return err
 	}
 	defer beacons.close()
+	relays, err := whenPortFree(ctx, log, cfg.Listen.Peers, func() (relayServer, error) {
+		server, stop, err := relay.Listen(cfg.Listen.Peers, paths, own.dialUpstream, control.AllowsRelay, log)
+		return relayServer{server, stop}, err
+	})
+	if err != nil {
+		return err
+	}
+	defer relays.stopNow()
+	dialer := relay.NewDialer(paths, own.dialUpstream, control.RelayPeers, relay.WithDialerLogger(log), relay.WithRelayObserver(gatewayMetrics.RelayedConnections.Inc))
 	stopBackground := runInBackground(control.Run, func(ctx context.Context) { src.run(ctx, control) })
 	defer stopBackground()
 
 	failed := make(chan error, 3)
-	upstreams, closeUpstreams := exchange.NewClient(exchange.WithDial(own.dialUpstream), exchange.WithDialObserver(func(string) { gatewayMetrics.Connections.Inc() }))
+	var closeUpstreams func()
+	upstreams, closeUpstreams = exchange.NewClient(exchange.WithDial(dialer.Dial), exchange.WithDialTimeout(relay.DialTimeout), exchange.WithDialObserver(func(string) { gatewayMetrics.Connections.Inc() }))
 	defer closeUpstreams()
 	server := gateway.NewServer(control, src.protocol, upstreams, rand.Float64, maxBodyMemory(cfg))
 	stopCallers, err := whenPortFree(ctx, log, cfg.Listen.Callers, func() (func(context.Context) error, error) {
@@ -144,7 +162,20 @@
 	if err := waitForStop(ctx, log, reloadSignals, reloadAll, failed); err != nil {
 		return err
 	}
-	return drainGateway(cfg, server, stopCallers, log)
+	return drainGateway(cfg, server, relays, stopCallers, log)
+}
+
+// relayServer is a server that opens connections for peers, and the function that stops it.
+type relayServer struct {
+	*relay.Server
+	stop func(context.Context)
+}
+
+// stopNow stops the server without waiting for the connections that it relays.
+func (r relayServer) stopNow() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r.stop(ctx)
 }
 
 // beaconListener is an open socket for beacons and the function that closes it.
@@ -217,18 +248,20 @@
 
 // drainGateway reports to the load balancer and the peers that this VM is leaving, and waits for the requests in
 // flight.
-func drainGateway(cfg settings.Settings, server *gateway.Server, stopCallers func(context.Context) error, log *zap.Logger) error {
+func drainGateway(cfg settings.Settings, server *gateway.Server, relays relayServer, stopCallers func(context.Context) error, log *zap.Logger) error {
 	log.Info("draining")
 	grace := time.Duration(cfg.Gateway.Grace) * time.Millisecond
 	endsAt := time.Now().Add(grace - killSafetyMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	server.BeginStop(endsAt)
+	relays.Leave()
 	time.Sleep(min(balancerDetectionDelay, grace/2))
 	if err := stopCallers(ctx); err != nil {
 		log.Error("drain-incomplete", zap.Error(err))
 		return &Error{Op: "drain", Kind: "Timeout", Err: err}
 	}
+	relays.stop(ctx)
 	log.Info("stopped")
 	return nil
 }
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -113,6 +113,9 @@
 	return dialer.DialContext(ctx, network, addr)
 }
 
+// SingleUse is implemented by connections that carry one request only.
+type SingleUse interface{ SingleUse() }
+
 // WithDial sets the function that opens connections. The default is DirectDial.
 func WithDial(dial Dial) Option { return func(c *Client) { c.dial = dial } }
 
@@ -125,10 +128,11 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	return c, c.closeIdle
+	return c, c.CloseIdle
 }
 
-func (c *Client) closeIdle() {
+// CloseIdle closes all idle connections.
+func (c *Client) CloseIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, conns := range c.idle {
@@ -175,6 +179,10 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	used.idleSince = now
+	if _, single := used.Conn.(SingleUse); single {
+		used.Close()
+		return
+	}
 	conns := c.idle[addr]
 	for len(conns) > 0 && !now.Before(conns[0].usableUntil) {
 		conns[0].Close()
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -18,6 +18,7 @@
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/quarantine"
 	"github.com/cassiabridge/cassiabridge/quota"
+	"github.com/cassiabridge/cassiabridge/relay"
 	"github.com/cassiabridge/cassiabridge/resumption"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
@@ -49,6 +50,10 @@
 	readList            func()
 	// advanceList is told up to where the list of replicas has become known from a peer, or nil.
 	advanceList func(offset, era uint64)
+	// isPathLost reports whether this VM has no way of its own to the upstream at an address.
+	isPathLost func(addr string) bool
+	// relayPeers holds the peers through which connections to upstreams can be opened.
+	relayPeers atomic.Pointer[[]relay.Peer]
 	// setDeclarationsReading is told whether this VM keeps a waiting read of the declarations, or nil, and advanceDeclarations up to
 	// where the operators' records have become known from a peer.
 	setDeclarationsReading func(bool)
@@ -69,6 +74,8 @@
 	caughtUp atomic.Bool
 
 	// The fields below are only accessed by the control goroutine.
+	// cutOff is whether this VM has no way of its own to upstreams that peers reach.
+	cutOff bool
 	// observers are called whenever new declarations take effect.
 	observers  []func()
 	scheduler  *placement.Scheduler
@@ -142,7 +149,7 @@
 	cold := quota.NewColdLimits(self.VM, defaultColdTolerance)
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
-		refreshDeclarations: func() {}, storeDelay: func() time.Duration { return 0 }, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
+		isPathLost: func(string) bool { return false }, refreshDeclarations: func() {}, storeDelay: func() time.Duration { return 0 }, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
 		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), streamsBegun: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
@@ -352,6 +359,11 @@
 
 // recordFailure reports that an upstream failed a request, or that it was unreachable.
 func (c *Controller) recordFailure(replica placement.Replica, unreachable bool) {
+	if !unreachable && c.isPathLost(replica.Address) {
+		// Connections break on this VM's side.
+		c.log.Info("failure-not-counted", zap.String("Replica", replica.ID), zap.String("Address", replica.Address))
+		return
+	}
 	c.post(func() {
 		if pause := c.scheduler.RecordFailure(c.now(), replica.ID, unreachable); pause > 0 {
 			c.beacon.dirty = true
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -147,8 +147,8 @@
 	result := s.exchange(prefillCtx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), Stage: placement.StagePrefill, LastEventID: g.lastEventID})
 	if result.resp == nil {
 		if prefillCtx.Err() != nil && ctx.Err() == nil {
-			// Treat an engine that exceeds prefillTimeout as unreachable.
-			s.control.recordFailure(replica, true)
+			// Treat an engine that exceeds prefillTimeout as unreachable, unless this VM may not have reached it.
+			s.control.recordFailure(replica, !s.control.isPathLost(replica.Address))
 		}
 		return "", result
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -55,6 +55,8 @@
 	vmCount int
 	// storeDistance is its distance from the store.
 	storeDistance int
+	// cutOff is whether it has no way of its own to upstreams.
+	cutOff bool
 	// zone is its availability zone, or empty if it is not known.
 	zone string
 	// state is its last beacon, which arrived at stateAt, and startedAt when its process started. They are kept in a fleet that
@@ -190,6 +192,7 @@
 	}
 	c.updateCatchUp(now, versions)
 	c.updateDeclarationsReading()
+	c.updateRelayPeers()
 }
 
 // updateQuotaShares tells the quotas how many VMs share them: count peers, of which silent ones are not heard and
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -13,6 +13,7 @@
 	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/relay"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
 
@@ -191,7 +192,7 @@
 		r.state = r.state.WithSent()
 	}
 	sentAt := s.control.now()
-	resp, err := s.upstreams.Do(ctx, to.Address, s.upstreamRequest(r, hop))
+	resp, err := s.upstreams.Do(relay.WithRequest(ctx, r.info.Attempt), to.Address, s.upstreamRequest(r, hop))
 	result := exchangeResult{outcome: attempt.Answered, resp: resp, err: err}
 	var info ResponseInfo
 	if err == nil {
--- a/gateway/summaries.go
+++ b/gateway/summaries.go
@@ -122,11 +122,11 @@
 	own := c.newBeacon(now)
 	c.groups.spentInside.Record(processRun(c.self.VM, c.self.Incarnation), own.SpentTokens)
 	states := []peer.Beacon{own}
-	members := []peer.Member{c.newMember(now, c.self.VM, c.zone, c.leaving.Load(), c.startedAt, c.address, c.storeDistance())}
+	members := []peer.Member{c.newMember(now, own, c.startedAt, c.address)}
 	for _, name := range c.groups.mates {
 		if p := c.peers[name]; !p.silent && !p.lastBeaconAt.IsZero() {
 			states = append(states, p.state.Aged(now.Sub(p.stateAt)))
-			members = append(members, c.newMember(now, name, p.zone, p.leaving, p.startedAt, p.address.String(), p.storeDistance))
+			members = append(members, c.newMember(now, p.state, p.startedAt, p.address.String()))
 		}
 	}
 	c.beacon.sequence++
@@ -138,8 +138,9 @@
 	return b
 }
 
-func (c *Controller) newMember(now time.Time, name, zone string, leaving bool, startedAt time.Time, address string, storeDistance int) peer.Member {
-	m := peer.Member{VM: name, AvailabilityZone: zone, Leaving: leaving, Uptime: now.Sub(startedAt), StoreDistance: storeDistance}
+// newMember returns what a summary tells of a VM whose last beacon was b.
+func (c *Controller) newMember(now time.Time, b peer.Beacon, startedAt time.Time, address string) peer.Member {
+	m := peer.Member{VM: b.VM, AvailabilityZone: b.AvailabilityZone, Leaving: b.Leaving, CutOff: b.CutOff, Uptime: now.Sub(startedAt), StoreDistance: b.StoreDistance}
 	if m.Uptime < introductionPeriod {
 		m.Address = address
 	}
@@ -296,7 +297,7 @@
 			p.silent = true
 			continue
 		}
-		p.silent, p.leaving, p.lastBeaconAt, p.version, p.storeDistance = false, member.Leaving, state.heardAt, state.version, member.StoreDistance
+		p.silent, p.leaving, p.lastBeaconAt, p.version, p.storeDistance, p.cutOff = false, member.Leaving, state.heardAt, state.version, member.StoreDistance, member.CutOff
 		p.startedTogether = (member.Uptime - state.heardAt.Sub(c.startedAt)).Abs() <= sameStartTolerance
 	}
 	for group, state := range g.states {
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -25,6 +25,8 @@
 	UpstreamFailures *prometheus.CounterVec
 	// Connections counts connections opened to upstreams.
 	Connections prometheus.Counter
+	// RelayedConnections counts those that were opened through other VMs.
+	RelayedConnections prometheus.Counter
 	// Version is the version of the declarations in force.
 	Version prometheus.Gauge
 	// QuarantinedParts is the number of parts of prompts that are quarantined.
@@ -60,6 +62,7 @@
 		Retries:             newCounterVec("repeats_total", "Requests sent to a further upstream.", "pool"),
 		UpstreamFailures:    newCounterVec("upstream_failures_total", "Failed exchanges with upstreams.", "pool", "kind"),
 		Connections:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_total", Help: "Connections opened to upstreams."}),
+		RelayedConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_relayed_total", Help: "Connections to upstreams opened through other VMs."}),
 		Version:             prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "declarations_version", Help: "Version of the declarations in force."}),
 		QuarantinedParts:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "quarantined_parts", Help: "Parts of prompts that are quarantined."}),
 		ColdReplicas:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "cold_replicas", Help: "Replicas that are cold after a start."}),
@@ -71,6 +74,6 @@
 		LogLinesDropped:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that were left out."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures,
-		m.Connections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.PeerBytes, m.EventDelay, m.StoreBytes, m.LogLinesDropped)
+		m.Connections, m.RelayedConnections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.PeerBytes, m.EventDelay, m.StoreBytes, m.LogLinesDropped)
 	return m
 }
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -49,6 +49,8 @@
 	Uptime time.Duration
 	// StoreDistance is that of the VM's beacons.
 	StoreDistance int
+	// CutOff is that of the VM's beacons.
+	CutOff bool
 	// Address is the IP address and port that receive its beacons, or empty if it has run for long enough for all to know it.
 	Address string
 }
@@ -79,6 +81,8 @@
 	VMCount int
 	// Leaving reports whether the VM has stopped accepting new requests.
 	Leaving bool
+	// CutOff reports whether the VM has no way of its own to upstreams that its peers reach.
+	CutOff bool
 	// StoreDistance is the round trip of the VM's fastest call to the store, in steps that are longer than one within a region.
 	StoreDistance int
 	// ReplicaLoads is the load of this VM's requests in flight, by replica ID.
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -31,6 +31,7 @@
 	VMCount         int                       `json:",omitempty"`
 	Leaving         bool                      `json:",omitempty"`
 	StoreDistance   int                       `json:",omitempty"`
+	CutOff          bool                      `json:",omitempty"`
 	Loads           map[string][2]int         `json:",omitempty"`
 	Waiting         map[string]int            `json:",omitempty"`
 	Spent           map[string]float64        `json:",omitempty"`
@@ -61,15 +62,16 @@
 	Leaving      bool   `json:"L,omitempty"`
 	UptimeMillis int64  `json:"U"`
 	Distance     int    `json:"D,omitempty"`
+	CutOff       bool   `json:"C,omitempty"`
 	Address      string `json:"A,omitempty"`
 }
 
 func newMemberMessage(m Member) memberMessage {
-	return memberMessage{VM: m.VM, Zone: m.AvailabilityZone, Leaving: m.Leaving, UptimeMillis: m.Uptime.Milliseconds(), Distance: m.StoreDistance, Address: m.Address}
+	return memberMessage{VM: m.VM, Zone: m.AvailabilityZone, Leaving: m.Leaving, UptimeMillis: m.Uptime.Milliseconds(), Distance: m.StoreDistance, CutOff: m.CutOff, Address: m.Address}
 }
 
 func (m memberMessage) member() Member {
-	return Member{VM: m.VM, AvailabilityZone: m.Zone, Leaving: m.Leaving, Uptime: millis(m.UptimeMillis), StoreDistance: m.Distance, Address: m.Address}
+	return Member{VM: m.VM, AvailabilityZone: m.Zone, Leaving: m.Leaving, Uptime: millis(m.UptimeMillis), StoreDistance: m.Distance, CutOff: m.CutOff, Address: m.Address}
 }
 
 // convertAll returns the converted elements, or nil if there are none.
@@ -153,11 +155,11 @@
 		Loads:          mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
 		Suspects:       mapValues(b.Suspects, func(e quarantine.Evidence) suspectMessage { return suspectMessage(e) }),
 		EvacuationsEra: b.EvacuationsEra, Evacuations: b.EvacuationsOffset,
-		Declarations: (*declarationsMessage)(b.Declarations),
-		ColdMillis:   mapValues(b.ColdReplicas, time.Duration.Milliseconds),
-		Services:     mapValues(b.ServiceLoads, newServiceLoadMessage),
-		Calls:        newCallsMessages(b.ServiceCalls),
-		Limits:       mapValues(b.ReplicaLimits, func(r quota.LimitReport) limitMessage { return limitMessage{r.Limit, r.Age.Milliseconds()} }),
+		CutOff: b.CutOff, Declarations: (*declarationsMessage)(b.Declarations),
+		ColdMillis: mapValues(b.ColdReplicas, time.Duration.Milliseconds),
+		Services:   mapValues(b.ServiceLoads, newServiceLoadMessage),
+		Calls:      newCallsMessages(b.ServiceCalls),
+		Limits:     mapValues(b.ReplicaLimits, func(r quota.LimitReport) limitMessage { return limitMessage{r.Limit, r.Age.Milliseconds()} }),
 	}
 }
 
@@ -167,7 +169,7 @@
 		checked = *m.CheckedMillis
 	}
 	return Beacon{
-		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving, StoreDistance: m.StoreDistance,
+		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving, StoreDistance: m.StoreDistance, CutOff: m.CutOff,
 		QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable,
 		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra, ListNext: m.ListNext, ListDigest: m.ListDigest, Streams: m.Streams, CheckAge: millis(checked),
 		ReplicaLoads:   mapValues(m.Loads, func(load [2]int) placement.Load { return placement.Load{Requests: load[0], Tokens: load[1]} }),
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -144,6 +144,16 @@
 	return r.Replica, true
 }
 
+// HasAddress reports whether a replica is listed at an address.
+func (s *Scheduler) HasAddress(addr string) bool {
+	for _, r := range s.replicas {
+		if r.Address == addr {
+			return true
+		}
+	}
+	return false
+}
+
 // Serves reports whether a replica is listed and not leaving.
 func (s *Scheduler) Serves(id string) bool {
 	r := s.replicas[id]
--- a/placement/unreachable.go
+++ b/placement/unreachable.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// ForgetFailures forgets the failures of all replicas, since this VM was their cause.
+func (s *Scheduler) ForgetFailures() {
+	for _, r := range s.replicas {
+		r.failures, r.backoffUntil, r.unreachable = 0, time.Time{}, false
+	}
+	clear(s.unreachable)
+}
+
 // endUnreachableReport removes a peer's report. If the replica was avoided because of its reports, this VM uses it again
 // at a random moment of the returnPeriod.
 func (s *Scheduler) endUnreachableReport(now time.Time, r *replica, vm string) {
