exchange, service: a status that HTTP does not have is no answer

Here callers of a plain service got their connection closed without an answer for statuses below 100, since net/http panics when it is to write them, and got 101, 600 and 999 as answers with the replica's signature; the native interface passed on all of them. Cause: net/http reads any three digits as a status, and nothing checked them. Change: a status that is not 200 to 599, or an interim one before it, and a switch of protocols that nobody asked for, is an exchange without an answer: recorded against the replica, in doubt, sent again where that is allowed, else 502. Both clients share the check.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -21,6 +21,8 @@
 	"syscall"
 	"time"
 	"unicode"
+
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 const (
@@ -314,7 +316,10 @@
 			// Stray bytes on the connection, up to the next line end, can parse as a status line.
 			return nil, fmt.Errorf("the status line %q is no answer", resp.Status)
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		if !isKnownStatus(resp.StatusCode) {
+			return nil, fmt.Errorf("the status line %q is no answer to a request", resp.Status)
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if accept == nil || accept(resp.Header) {
@@ -329,6 +334,11 @@
 	}
 }
 
+// isKnownStatus reports whether an upstream may answer a request with a status. A switch of protocols is never asked for.
+func isKnownStatus(status int) bool {
+	return transport.IsFinalStatus(status) || status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // applyKeepAlive sets usableUntil from the Keep-Alive timeout in a response header. It reports whether the
 // connection may be reused at all.
 func (c *conn) applyKeepAlive(now time.Time, header http.Header) bool {
--- a/service/client.go
+++ b/service/client.go
@@ -118,6 +118,9 @@
 		return Response{}, &Error{Op: op, Kind: transportErrorKind(err), Err: err}
 	}
 	defer resp.Body.Close()
+	if !transport.IsFinalStatus(resp.StatusCode) {
+		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: fmt.Errorf("the status line %q is no answer to a request", resp.Status)}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxResponseBytes+1))
 	if err != nil {
 		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: err}
--- /dev/null
+++ b/service/client_test.go
@@ -0,0 +1,58 @@
+package service
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/resource"
+)
+
+// newUpstream returns an upstream that answers each connection.
+func newUpstream(t *testing.T, answer func(conn net.Conn, reader *bufio.Reader)) func() []resource.Upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				answer(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return func() []resource.Upstream {
+		return []resource.Upstream{{Name: "a", Address: listener.Addr().String(), Places: 4}}
+	}
+}
+
+// TestStatusOfNoKnownKindIsAResponse guards against a status that HTTP does not have, or that was not asked for, which is passed on or
+// panics.
+func TestStatusOfNoKnownKindIsAResponse(t *testing.T) {
+	for _, status := range []string{"000", "042", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			candidates := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			client, closeClient := NewClient(1 << 20)
+			defer closeClient()
+			_, err := client.Do(t.Context(), candidates, Call{Method: http.MethodPost, Target: "/", Header: http.Header{}, Operation: "op"})
+			var serviceErr *Error
+			if assert.ErrorAs(t, err, &serviceErr) {
+				assert.Equal(t, ErrInDoubt, serviceErr.Kind)
+			}
+		})
+	}
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -14,8 +14,13 @@
 	dialTimeout = time.Second
 	// maxHeadBytes bounds the headers of a response, including 1xx responses before it.
 	maxHeadBytes = 32 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 )
 
+// IsFinalStatus reports whether an upstream may end its answer to a request with a status.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // New returns a transport with a dial timeout of one second that keeps up to idleConnections idle connections
 // for each host. It closes the connection of an upstream that sends headers without end.
 func New(idleConnections int) *http.Transport {
