exchange, service: an early answer that is cut during an upload is no complete one

Cause: the request is written in a goroutine of its own while the answer is read. The kernel reports a reset once: if the write meets it, the read that follows finds the regular end of the connection, and that is what completes an answer without a length. Change: such an answer is complete only if the whole request has been written; a write that has been read by the upstream returns within 50 ms. Else it is truncated, as one that is reset.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -42,6 +42,8 @@
 	maxSkippedBytes = 1 << 20
 	// maxDrainBytes is the length of the longest body that Close drains so that the connection can be reused.
 	maxDrainBytes = 4 << 10
+	// writeEndDelay is how long a request that its upstream has read may take to return from its write.
+	writeEndDelay = 50 * time.Millisecond
 	// headSizeHint is the initial buffer capacity for a request line and headers.
 	headSizeHint = 1 << 10
 )
@@ -365,6 +367,11 @@
 	if n > 0 && r.onRead != nil {
 		r.onRead(n)
 	}
+	if err == io.EOF && r.Framing == FramedByConn && !r.write.succeedsWithin(writeEndDelay) {
+		// The upstream closed the connection before it had read the request, which resets it. The write has met the reset, and what
+		// looks like the end of the body is where it broke off.
+		return n, r.TruncatedError()
+	}
 	if err == io.EOF {
 		r.sawEOF = true
 		return n, err
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -118,5 +118,17 @@
 // failedUnsent reports whether the write failed before any byte was written.
 func (w *requestWrite) failedUnsent() bool { return w.finished() && w.err != nil && w.written == 0 }
 
+// succeedsWithin reports whether the whole request is written, or will be within a period.
+func (w *requestWrite) succeedsWithin(period time.Duration) bool {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+		return w.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // succeeded reports whether the whole request was written.
 func (w *requestWrite) succeeded() bool { return w.finished() && w.err == nil }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -403,6 +403,29 @@
 	}
 }
 
+// TestEarlyAnswerCutWhileTheRequestIsWritten guards against an answer without a length whose connection is reset while a long request is
+// still being written, and that looks complete since the write has met the reset first.
+func TestEarlyAnswerCutWhileTheRequestIsWritten(t *testing.T) {
+	for n := range 40 {
+		addr, _ := startUpstream(t, func(_ *testing.T, conn net.Conn, reader *bufio.Reader) {
+			_, _ = reader.Peek(1)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part of the ")
+			time.Sleep(time.Duration(n%8) * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		})
+		client, closeClient := NewClient()
+		resp, err := client.Do(t.Context(), addr, Request{Method: http.MethodPost, Target: "/", Host: addr, Header: http.Header{}, Body: make([]byte, 8<<20)})
+		if err == nil {
+			time.Sleep(time.Duration(n%5) * 2 * time.Millisecond)
+			_, err = resp.ReadAll(1 << 20)
+			resp.Close()
+		}
+		assert.Error(t, err, "play %d", n)
+		closeClient()
+	}
+}
+
 // FuzzUpstreamBytes guards against bytes of an upstream that end the process, or that a caller could be answered with although they are no
 // answer.
 func FuzzUpstreamBytes(f *testing.F) {
--- a/integration/site_odd_status_test.go
+++ b/integration/site_odd_status_test.go
@@ -1,6 +1,9 @@
 package integration
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -41,3 +44,45 @@
 	}
 	assert.Empty(t, s.logLines(s.vms[0], "panic"))
 }
+
+// TestSiteEarlyAnswerCutDuringAnUploadLooksComplete guards against an answer without a length that is cut while a long upload is still being
+// written, and reaches the caller as a complete one.
+func TestSiteEarlyAnswerCutDuringAnUploadLooksComplete(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	s.configure(func(c *standin.Configuration) { c.Limits["maxBodyBytes"] = 16 << 20 })
+	s.updateEntry("s-0", "state", "draining")
+	s.updateEntry("s-1", "state", "draining")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerEarlyAndCut(conn)
+		}
+	}()
+	s.store.PutReplica("r-0", map[string]any{"service": deskService, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "address": listener.Addr().String()})
+	time.Sleep(maxSitePropagationDelay)
+	for range 20 {
+		a := s.send(s.vms[0], siteRequest{method: http.MethodPost, path: "/release/a", body: strings.Repeat("x", 8<<20)})
+		assert.False(t, a.status == http.StatusOK && a.complete, "a part of the answer: %q", a.body)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// answerEarlyAndCut answers as soon as the header of a request has arrived, and resets the connection.
+func answerEarlyAndCut(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	r, err := http.ReadRequest(reader)
+	if err == nil {
+		attempt := r.Header.Get(standin.HeaderAttempt)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+standin.HeaderAttempt+": "+attempt+"\r\n"+standin.HeaderSignature+": r-0\r\n\r\na part of the ")
+		time.Sleep(5 * time.Millisecond)
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
--- a/service/client.go
+++ b/service/client.go
@@ -102,6 +102,7 @@
 
 func (c *Client) send(ctx context.Context, upstream resource.Upstream, call Call) (Response, error) {
 	op := call.Method + " " + upstream.Name
+	ctx, write := transport.WithRequestWrite(ctx)
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+upstream.Address+call.Target, transport.NonRewindableBody(call.Body))
 	if err != nil {
 		return Response{}, &Error{Op: op, Kind: ErrUnsent, Err: err}
@@ -129,6 +130,9 @@
 		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: fmt.Errorf("response is longer than %d bytes", c.maxResponseBytes)}
 	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if unframed && !write.Succeeded() {
+		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: io.ErrUnexpectedEOF}
+	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: unframed}, nil
 }
 
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -56,3 +58,22 @@
 		})
 	}
 }
+
+// TestEarlyResponseCutWhileTheCallIsWritten guards against a response without a length whose connection is reset while a long call is
+// still being written, and that looks complete.
+func TestEarlyResponseCutWhileTheCallIsWritten(t *testing.T) {
+	for n := range 40 {
+		candidates := newUpstream(t, func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = reader.Peek(1)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part of the ")
+			time.Sleep(time.Duration(n%8) * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		})
+		client, closeClient := NewClient(1 << 20)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		response, err := client.Do(ctx, candidates, Call{Method: http.MethodPost, Target: "/", Header: http.Header{}, Operation: "op", Body: make([]byte, 8<<20)})
+		assert.Error(t, err, "play %d: %q", n, response.Body)
+		cancel()
+		closeClient()
+	}
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -3,10 +3,13 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
 	"time"
 )
 
@@ -14,6 +17,8 @@
 	dialTimeout = time.Second
 	// maxHeadBytes bounds the headers of a response, including 1xx responses before it.
 	maxHeadBytes = 32 << 10
+	// writeEndDelay is how long a request that its upstream has read may take to return from its write.
+	writeEndDelay = 50 * time.Millisecond
 	// maxStatus is the highest status of HTTP.
 	maxStatus = 599
 )
@@ -39,6 +44,38 @@
 	return errors.As(err, &netErr) && netErr.Op == "dial"
 }
 
+// RequestWrite is the write of one request.
+type RequestWrite struct {
+	once sync.Once
+	done chan struct{}
+	err  error
+}
+
+// WithRequestWrite returns a context for one request, and the write of that request.
+func WithRequestWrite(ctx context.Context) (context.Context, *RequestWrite) {
+	w := &RequestWrite{done: make(chan struct{})}
+	wrote := func(info httptrace.WroteRequestInfo) {
+		w.once.Do(func() {
+			w.err = info.Err
+			close(w.done)
+		})
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: wrote}), w
+}
+
+// Succeeded reports whether the whole request was written, once the body of its response has ended. If it was not, an upstream that
+// closed the connection has reset it, and a body that only the end of the connection ends may have broken off there.
+func (w *RequestWrite) Succeeded() bool {
+	timer := time.NewTimer(writeEndDelay)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+		return w.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // NonRewindableBody returns a request body that net/http cannot rewind, so that the transport never retries the request
 // on its own.
 func NonRewindableBody(data []byte) io.ReadCloser {
