gateway, resumption: a VM that may lack news of replicas goes on with no stream that it does not know

Cause: a stream that nobody has told a VM of goes on at the only version that the VM knows. A VM that is cut off from peers and the store, or has stood still, or was suspended, does not know that there are two. Change: such a stream goes on only if this VM would have heard of a replica that has joined over 1.5 s ago: somebody has read the list since and this VM lacks no change, or all peers are heard and none knows of one (the store is away). Else the caller gets 503, truly not run, and a Retry-After of 0.3 s. A steady clock that stood still is noticed by the time of day, and what is known of peers and of the list counts as that much older.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -180,7 +180,7 @@
 
 // runDueTasks runs the tasks of the event loop that are due, and returns how long it may sleep if no event arrives.
 func (c *Controller) runDueTasks(now time.Time) time.Duration {
-	c.stall.recordTurn(now)
+	c.noticeStall(now)
 	c.deliverDecisions(now)
 	c.expireDoubtfulReplicas(now)
 	c.updatePeersIfDue(now)
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -242,7 +242,7 @@
 		return
 	}
 	now := c.now()
-	c.stall.recordTurn(now)
+	c.noticeStall(now)
 	if now.Sub(c.stall.endedAt) < stallBacklogPeriod {
 		page.Age += c.stall.period
 	}
--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -16,6 +16,9 @@
 	resumeMargin = 5 * time.Second
 	// unknownStreamRetryAfter is the Retry-After of a caller that resumes a stream of which this VM has not heard yet.
 	unknownStreamRetryAfter = 300 * time.Millisecond
+	// listFreshness is the age up to which what is known of the list of replicas counts as current. The list is read every
+	// listReadInterval, and beacons tell of that.
+	listFreshness = 1500 * time.Millisecond
 )
 
 // originOf returns the origin of a replica's streams.
@@ -81,12 +84,37 @@
 
 // streamOrigin returns where the stream that an attempt began in a pool may go on.
 func (c *Controller) streamOrigin(attempt, pool string) knownOrigin {
-	return ask(c, func() knownOrigin {
-		now := c.now()
-		listed := c.scheduler.SoftwareVersions(pool)
-		origin, unknown := c.streams.OriginOf(now, attempt, pool, listed)
-		return knownOrigin{origin, unknown, c.streams.Versions(now, pool, listed)}
-	})
+	return ask(c, func() knownOrigin { return c.findOrigin(c.now(), attempt, pool) })
+}
+
+// findOrigin is streamOrigin for the control goroutine.
+func (c *Controller) findOrigin(now time.Time, attempt, pool string) knownOrigin {
+	c.noticeStall(now)
+	listed := c.scheduler.SoftwareVersions(pool)
+	origin, unknown := c.streams.OriginOf(now, attempt, pool, listed, c.knowsList(now))
+	return knownOrigin{origin, unknown, c.streams.Versions(now, pool, listed)}
+}
+
+// knowsList reports whether this VM would have heard of a replica that has joined more than listFreshness ago: somebody has read the list
+// since, or nobody can and all peers are heard.
+func (c *Controller) knowsList(now time.Time) bool {
+	switch {
+	case c.readList == nil:
+		return true
+	case c.listSchedule.stale:
+		return false
+	}
+	return now.Sub(later(c.listSchedule.ranAt, c.listSchedule.peerRanAt)) <= listFreshness || c.hearsAllPeers(now)
+}
+
+// hearsAllPeers reports whether all VMs are heard that this one knows.
+func (c *Controller) hearsAllPeers(now time.Time) bool {
+	for _, p := range c.peers {
+		if p.silent && now.Sub(p.listedAt) <= peerExpiry || !p.silent && now.Sub(p.lastBeaconAt) > listFreshness {
+			return false
+		}
+	}
+	return true
 }
 
 // hasSeveralVersions reports whether streams of a pool that can still be resumed may have begun at several software versions.
--- a/gateway/resumed_streams_test.go
+++ b/gateway/resumed_streams_test.go
@@ -32,7 +32,7 @@
 		return c
 	}
 	origin := func(c *Controller) (resumption.Origin, resumption.Unknown) {
-		return c.streams.OriginOf(now, "attempt", "p", c.scheduler.SoftwareVersions("p"))
+		return c.streams.OriginOf(now, "attempt", "p", c.scheduler.SoftwareVersions("p"), true)
 	}
 	v2 := resumption.Origin{Pool: "p", Version: "v2"}
 	t.Run("without a copy", func(t *testing.T) {
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -38,6 +38,8 @@
 	SeveralVersions Unknown = "SeveralVersions"
 	// NoHistory means that it is not known which versions served before this VM started.
 	NoHistory Unknown = "NoHistory"
+	// Outdated means that the stream is not remembered, and that versions may serve now of which this VM has not heard yet.
+	Outdated Unknown = "Outdated"
 )
 
 // begun is a stream that has begun.
@@ -161,8 +163,8 @@
 }
 
 // OriginOf returns where the stream that an attempt began may go on. If the stream is not remembered, it is one of a pool, of which
-// listed holds the versions that serve now.
-func (t *Tracker) OriginOf(now time.Time, attempt, pool string, listed []string) (Origin, Unknown) {
+// listed holds the versions that serve now, as far as is known. current is whether those are all.
+func (t *Tracker) OriginOf(now time.Time, attempt, pool string, listed []string, current bool) (Origin, Unknown) {
 	t.expire(now)
 	if known := t.streams[nameOf(attempt)]; known != nil && attempt != "" {
 		return known.origin, Known
@@ -173,6 +175,8 @@
 		return Origin{}, NoHistory
 	case len(versions) > 1:
 		return Origin{}, SeveralVersions
+	case !current:
+		return Origin{}, Outdated
 	case len(versions) == 0:
 		return Origin{Pool: pool}, Known
 	}
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -20,7 +20,7 @@
 // assertOrigin checks where a stream may go on.
 func assertOrigin(t *testing.T, tracker *Tracker, now time.Time, attempt string, listed []string, origin Origin, unknown Unknown) {
 	t.Helper()
-	found, reason := tracker.OriginOf(now, attempt, pool, listed)
+	found, reason := tracker.OriginOf(now, attempt, pool, listed, true)
 	assert.Equal(t, unknown, reason)
 	assert.Equal(t, origin, found)
 }
@@ -176,7 +176,7 @@
 						continue
 					}
 					for _, vm := range vms {
-						if found, unknown := vm.OriginOf(now, attempt, pool, listed()); unknown == Known && found.Version != "" && found != origin {
+						if found, unknown := vm.OriginOf(now, attempt, pool, listed(), true); unknown == Known && found.Version != "" && found != origin {
 							t.Fatalf("%s began at %v and goes on at %v", attempt, origin, found)
 						}
 					}
