gateway: simulated requests leave the link between regions what it can carry

Traced: the requests took nine tenths of the link beside the fleet's own 1.2 MB a second, 8.5 of 7.5 MB a second in all: a link that is asked for more than it carries grows a queue without end, and no bound can hold on it. Change: requests take what is left up to nine tenths, in the same bursts.

--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -325,13 +325,18 @@
 	return rates
 }
 
-// fillLinks has requests take a share of the link between the regions, in each direction, in bursts.
+// fillLinks has requests take what is left up to a share of the link between the regions, in each direction, in bursts.
 func (f *simFleet) fillLinks(share float64) {
 	const interval = 10 * time.Millisecond
+	budget := int(share * simRegionBytesPerSecond * interval.Seconds())
+	sent := map[string]int{}
 	var fill func()
 	fill = func() {
 		for _, region := range []string{simNorth, simSouth} {
-			f.between[region].send(f.now, int(2*f.random.Float64()*share*simRegionBytesPerSecond*interval.Seconds()))
+			link := f.between[region]
+			left := max(0, budget-(link.bytes-sent[region]))
+			link.send(f.now, int(2*f.random.Float64()*float64(left)))
+			sent[region] = link.bytes
 		}
 		f.at(f.now.Add(interval), fill)
 	}
