--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,7 +22,7 @@
 type Listen struct {
 	Callers   string `doc:"IP address and port for callers." default:"127.0.0.1:8080" kind:"address"`
 	Operators string `doc:"IP address and port for the resource API, metrics and health." default:"127.0.0.1:8081" kind:"address"`
-	Peers     string `doc:"IP address and port for the other VMs. Must match the address in the platform's list. With Gateway, beacons are received there as UDP datagrams." default:"127.0.0.1:8082" kind:"address"`
+	Peers     string `doc:"IP address and port for the other VMs. Must match the address in the platform's list. With Gateway, beacons are received there as UDP datagrams. Connections to upstreams are opened there for other VMs, over TCP." default:"127.0.0.1:8082" kind:"address"`
 	Readiness string `doc:"With Gateway: IP address and port of the readiness check for the load balancer." default:"127.0.0.1:8083" kind:"address"`
 	Metrics   string `doc:"With Gateway: IP address and port for metrics." default:"127.0.0.1:8084" kind:"address"`
 }
