gateway: a VM without declarations does not end when a peer asks for them

Cause: found while reading the change again: encodedDeclarations took the table for granted; a VM that has read an evacuation and no declarations that it can decode has none, and the control goroutine panicked when a peer asked. Measured: TestVMWithoutDeclarationsIsAskedForThem panicked before, passes now.

--- a/gateway/declaration_pages.go
+++ b/gateway/declaration_pages.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"compress/flate"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -64,6 +65,9 @@
 // encodedDeclarations returns the pages of the declarations in force.
 func (c *Controller) encodedDeclarations() ([]*peer.DeclarationsPage, error) {
 	table, next := c.table.Load(), c.zones.next
+	if table == nil {
+		return nil, errors.New("this VM has none yet")
+	}
 	if kept := c.declarations.pages.current; len(kept) > 0 && kept[0].Version == table.Version && kept[0].Era == next.era && kept[0].Next == next.offset {
 		return kept, nil
 	}
--- a/gateway/declaration_pages_test.go
+++ b/gateway/declaration_pages_test.go
@@ -109,3 +109,14 @@
 		}
 	})
 }
+
+// TestVMWithoutDeclarationsIsAskedForThem guards against a VM that knows of an evacuation, and of no declarations that it can read, and ends
+// when a peer asks for them.
+func TestVMWithoutDeclarationsIsAskedForThem(t *testing.T) {
+	f := newSimFleet(t, 6, 6)
+	f.run(100 * time.Millisecond)
+	v, other := f.vms[0], f.vms[1]
+	v.table.Store(nil)
+	v.zones.changed = listPosition{offset: 9}
+	v.handleBeacon(peer.Beacon{VM: other.self.VM, Incarnation: "x", Scope: peer.ScopeDeclarationsRequest}, other.address)
+}
