gateway, eventstream, relay: where streams are joined, and events out of order, are logged

Our logs could not tell the hypotheses apart: stream-broken names the last event before a joint, nothing named the first one after it, the order inside an answer, or how a relayed connection ended. Now stream-joined names both events, the replica and its software version, stream-out-of-order names an event that does not follow the one before it and why, misplaced_events_total counts them, and connection-of-peer-ended says how a connection for a peer ended. What streams consist of moves from gateway to a package of its own, eventstream, with a Sequence that judges each event. No decision changes: events are relayed as before. TestCompleteEvents and TestEventTail move with it (as TestTail), with all their cases and one more: the end of an event over 64 KiB that comes in pieces was not seen, by reading the code.

--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/attempt"
+	"github.com/cassiabridge/cassiabridge/eventstream"
 	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/routing"
@@ -37,6 +38,8 @@
 	r      *request
 	// lastEventID is the ID of the last stream event that was sent to the caller.
 	lastEventID string
+	// events follows the events that the caller gets.
+	events eventstream.Sequence
 	// prefilled is set once a prefill for this request has succeeded.
 	prefilled bool
 }
@@ -53,7 +56,7 @@
 // generate serves a request through a prefill engine and a decode engine, and retries as far as the route's retry
 // policy and the retry budget allow.
 func (s *Server) generate(ctx context.Context, r *request) *Error {
-	g := &generation{server: s, r: r, lastEventID: r.info.LastEventID}
+	g := &generation{server: s, r: r, lastEventID: r.info.LastEventID, events: eventstream.Resume(r.info.LastEventID)}
 	r.w.onFirstByte = func() {
 		took := s.control.now().Sub(r.arrivedAt)
 		s.metrics.FirstEvent.WithLabelValues(r.route.Name).Observe(took.Seconds())
@@ -254,7 +257,8 @@
 	if r.w.bytes == 0 {
 		s.recordOrigin(r, from)
 	}
-	lastID, err := r.w.copyEvents(result.resp, g.lastEventID)
+	g.events.BeginAnswer()
+	lastID, err := r.w.copyEvents(result.resp, g.lastEventID, func(events []byte) { g.observeEvents(from, events) })
 	g.lastEventID = lastID
 	if r.w.bytes > 0 {
 		r.versions = placement.VersionLimit{Limited: true, Version: from.SoftwareVersion}
@@ -277,6 +281,22 @@
 	return s.forwardError(ctx, r, err), r.state.Next(attempt.Broken)
 }
 
+// observeEvents logs where the events of an upstream go on with a stream, and events that do not follow those before them.
+func (g *generation) observeEvents(from placement.Replica, events []byte) {
+	s, r := g.server, g.r
+	joining, last := g.events.Joining(), g.events.LastID()
+	_, err := g.events.Add(events)
+	var orderErr *eventstream.Error
+	if errors.As(err, &orderErr) {
+		s.metrics.MisplacedEvents.WithLabelValues(r.pool.Name, string(orderErr.Kind)).Inc()
+		s.log.Warn("stream-out-of-order", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.Bool("Joining", joining), zap.Error(err))
+	}
+	if joining && !g.events.Joining() {
+		s.log.Info("stream-joined", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("SoftwareVersion", from.SoftwareVersion),
+			zap.String("LastEvent", last), zap.String("FirstEvent", g.events.FirstID()))
+	}
+}
+
 // discardResponse discards an upstream's response that is not relayed: a failure that is retried, or one that would
 // corrupt a stream that the caller is already receiving.
 func (g *generation) discardResponse(ctx context.Context, from placement.Replica, resp *exchange.Response, retry bool) (*Error, attempt.Step) {
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cassiabridge/cassiabridge/eventstream"
 	"github.com/cassiabridge/cassiabridge/exchange"
 )
 
@@ -132,9 +133,9 @@
 // copyUnframedEvents is copyBody for an event stream that only the end of its connection ends. Such a stream is truncated
 // if it ends inside an event.
 func (w *responseWriter) copyUnframedEvents(resp *exchange.Response) error {
-	var tail eventTail
-	err := w.copyWith(resp, tail.add)
-	if err == nil && tail.truncated() {
+	var tail eventstream.Tail
+	err := w.copyWith(resp, func(p []byte) { tail.Add(p) })
+	if err == nil && (!tail.Started() || tail.InsideEvent()) {
 		return resp.TruncatedError()
 	}
 	return err
--- a/relay/server.go
+++ b/relay/server.go
@@ -136,7 +136,8 @@
 		upstream.Close()
 		return
 	}
-	tunnel{caller, upstream}.run()
+	err = tunnel{caller, upstream}.run()
+	s.log.Info("connection-of-peer-ended", zap.String("Request", request), zap.String("From", r.RemoteAddr), zap.String("Address", target), zap.Error(err))
 }
 
 // writeDialError answers that a connection could not be opened. One that was not refused may have been lost on the way of a VM that has
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -12,12 +12,14 @@
 }
 
 // run relays in both directions until one side has ended its connection. An upstream's end or reset reaches the caller as what it
-// was: an answer that only the end of its connection completes must not look complete after a reset.
-func (t tunnel) run() {
+// was: an answer that only the end of its connection completes must not look complete after a reset. run returns nil if the upstream's
+// end was regular.
+func (t tunnel) run() error {
 	upstreamEnded := make(chan struct{})
+	var upstreamErr error
 	go func() {
 		defer close(upstreamEnded)
-		if err := copyBytes(t.caller, t.upstream); err != nil {
+		if upstreamErr = copyBytes(t.caller, t.upstream); upstreamErr != nil {
 			reset(t.caller)
 			return
 		}
@@ -30,6 +32,7 @@
 	t.upstream.Close()
 	<-upstreamEnded
 	t.caller.Close()
+	return upstreamErr
 }
 
 // copyBytes copies from src to dst until src ends. It returns nil only if that was its regular end.
