integration, relay: a relayed connection that breaks looks like the end of its answer (known red)

The kernel ends the connections of a killed VM in an orderly way, and reports a reset once, to a write if that meets it.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -302,3 +302,35 @@
 		}
 	})
 }
+
+// resetMetByWrite is a connection whose reset is met by a write, so that a read finds its end.
+type resetMetByWrite struct {
+	net.Conn
+	met chan struct{}
+}
+
+func (c resetMetByWrite) Write([]byte) (int, error) {
+	close(c.met)
+	return 0, syscall.ECONNRESET
+}
+
+func (c resetMetByWrite) Read([]byte) (int, error) {
+	<-c.met
+	return 0, io.EOF
+}
+
+// TestResetThatAWriteMeetsLooksLikeAnEnd guards against an upstream that resets a relayed connection while the request is written, and
+// whose answer looks complete: the kernel reports a reset once, and later reads find an orderly end.
+func TestResetThatAWriteMeetsLooksLikeAnEnd(t *testing.T) {
+	upstream, other := net.Pipe()
+	t.Cleanup(func() { other.Close() })
+	met := resetMetByWrite{Conn: upstream, met: make(chan struct{})}
+	d, _ := newTestDialer(refuse, newPeer(t, "peer", func(context.Context, string, string) (net.Conn, error) { return met, nil }))
+	conn, _, err := dial(t, d, "127.0.0.1:9")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(conn, "a request")
+	require.NoError(t, err)
+	_, err = io.ReadAll(conn)
+	assert.Error(t, err)
+}
