--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -326,7 +326,7 @@
 	t.Cleanup(func() { other.Close() })
 	met := resetMetByWrite{Conn: upstream, met: make(chan struct{})}
 	d, _ := newTestDialer(refuse, newPeer(t, "peer", func(context.Context, string, string) (net.Conn, error) { return met, nil }))
-	conn, _, err := dial(t, d, "127.0.0.1:9")
+	conn, _, err := dial(t, d, "127.0.0.1:8")
 	require.NoError(t, err)
 	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
 	_, err = io.WriteString(conn, "a request")
