relay: an answer through a VM that is killed does not look complete

Cause: the kernel ends the connections of a killed process in an orderly way, and only the end of its connection ends such a body. The relaying VM now has its side of the connection end with a reset from the start, and lifts that only when the upstream has ended its own in an orderly way, as callers' connections do since.

--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -12,9 +12,11 @@
 }
 
 // run relays in both directions until one side has ended its connection. An upstream's end or reset reaches the caller as what it
-// was: an answer that only the end of its connection completes must not look complete after a reset. run returns nil if the upstream's
-// end was regular.
+// was: an answer that only the end of its connection completes must not look complete after a reset, nor if this process is killed. run
+// returns nil if the upstream's end was regular.
 func (t tunnel) run() error {
+	// The kernel ends the connections of a killed process in an orderly way, unless this is set.
+	setResetOnClose(t.caller, true)
 	upstreamEnded := make(chan struct{})
 	var upstreamErr error
 	go func() {
@@ -23,6 +25,7 @@
 			reset(t.caller)
 			return
 		}
+		setResetOnClose(t.caller, false)
 		if half, ok := t.caller.(interface{ CloseWrite() error }); ok {
 			_ = half.CloseWrite()
 		}
@@ -54,10 +57,19 @@
 	}
 }
 
-// reset closes a connection so that its other end reads a reset.
-func reset(conn net.Conn) {
+// setResetOnClose sets whether the end of a connection, also by the end of the process, is a reset. Otherwise it is an orderly close.
+func setResetOnClose(conn net.Conn, enabled bool) {
+	seconds := -1
+	if enabled {
+		seconds = 0
+	}
 	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = c.SetLinger(0)
+		_ = c.SetLinger(seconds)
 	}
+}
+
+// reset closes a connection so that its other end reads a reset.
+func reset(conn net.Conn) {
+	setResetOnClose(conn, true)
 	conn.Close()
 }
