relay: a reset that the write of the request meets is no end of the answer

What callers could see: the beginning of an answer without framing, as complete, when the upstream reset the connection while the peer that relayed it was still writing the request. An end counts as regular only if all writes to the upstream have succeeded, one under way within 50 ms.

--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -4,8 +4,15 @@
 	"errors"
 	"io"
 	"net"
+	"time"
 )
 
+// writeEndDelay is how long a write to an upstream that has ended its answer may take to return.
+const writeEndDelay = 50 * time.Millisecond
+
+// errRequestNotWritten means that an upstream ended its connection before the request was written.
+var errRequestNotWritten = errors.New("the upstream ended the connection before it had read the request")
+
 // tunnel relays bytes between a peer, which calls an upstream, and the upstream.
 type tunnel struct {
 	caller, upstream net.Conn
@@ -17,11 +24,16 @@
 func (t tunnel) run() error {
 	// The kernel ends the connections of a killed process in an orderly way, unless this is set.
 	setResetOnClose(t.caller, true)
+	toUpstream := newTrackedWriter(t.upstream)
 	upstreamEnded := make(chan struct{})
 	var upstreamErr error
 	go func() {
 		defer close(upstreamEnded)
-		if upstreamErr = copyBytes(t.caller, t.upstream); upstreamErr != nil {
+		upstreamErr = copyBytes(t.caller, t.upstream)
+		if upstreamErr == nil && !toUpstream.succeedsWithin(writeEndDelay) {
+			upstreamErr = errRequestNotWritten
+		}
+		if upstreamErr != nil {
 			reset(t.caller)
 			return
 		}
@@ -31,13 +43,48 @@
 		}
 	}()
 	// The caller ends its connection when it has the answer, or when nobody waits for it any more: work on it stops then.
-	_ = copyBytes(t.upstream, t.caller)
+	_ = copyBytes(toUpstream, t.caller)
 	t.upstream.Close()
 	<-upstreamEnded
 	t.caller.Close()
 	return upstreamErr
 }
 
+// trackedWriter writes to a connection and knows whether all writes have succeeded. A reset of the connection is reported once: if a write
+// meets it, a read finds what looks like an orderly end.
+type trackedWriter struct {
+	dst io.Writer
+	// idle holds one element while no write is under way: whether all writes have succeeded.
+	idle chan bool
+}
+
+func newTrackedWriter(dst io.Writer) *trackedWriter {
+	w := &trackedWriter{dst: dst, idle: make(chan bool, 1)}
+	w.idle <- true
+	return w
+}
+
+// Write implements io.Writer.
+func (w *trackedWriter) Write(p []byte) (int, error) {
+	succeeded := <-w.idle
+	n, err := w.dst.Write(p)
+	w.idle <- succeeded && err == nil
+	return n, err
+}
+
+// succeedsWithin reports whether all writes have succeeded, also one that is under way and returns within a period.
+func (w *trackedWriter) succeedsWithin(period time.Duration) bool {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case succeeded := <-w.idle:
+		w.idle <- succeeded
+		return succeeded
+	case <-timer.C:
+		return false
+	}
+}
+
 // copyBytes copies from src to dst until src ends. It returns nil only if that was its regular end.
 func copyBytes(dst io.Writer, src io.Reader) error {
 	buffer := make([]byte, relayBufferBytes)
