gateway, eventstream: a stream goes on only with the event after the last one

What callers saw: streams that broke off and went on with events that they already had, without some, or with those of a second run from its beginning, as complete streams (ORDER: comes twice, is missing, a number goes back, two runs are joined). Cause: the order at a joint rested on the word of the next upstream that it goes on after Last-Event-Id; we compared nothing. Class: a promise that is kept only if another party keeps its own.

Each event of a resumable stream of an engine must now have a higher number than the one before it, from whichever upstream it comes; the first one of another upstream must have the next number, unless the IDs are known to skip numbers. What does not follow ends that answer before the caller sees it, and the stream goes on at another upstream or breaks off, for the caller to resume. A stream cannot be joined after events without an ID or where IDs are no numbers, since nothing tells where it would go on; an empty answer says nothing of whether the stream is whole.

--- a/eventstream/sequence.go
+++ b/eventstream/sequence.go
@@ -16,6 +16,8 @@
 	// counted is whether the IDs are the numbers of the events, as far as is known: they begin with 0 or 1 and no upstream has left one out
 	// within its answer.
 	counted bool
+	// followed is whether an event with an ID has been added.
+	followed bool
 	// joining is whether the next event is the first of an upstream that goes on with the stream, and first the ID of the first event of
 	// the upstream.
 	joining bool
@@ -25,10 +27,11 @@
 }
 
 // Resume returns the Sequence of a stream whose caller already has the events up to the one with lastID. It is the zero value if lastID is
-// empty.
-func Resume(lastID string) Sequence {
+// empty. counted is whether the IDs of such streams are the numbers of their events.
+func Resume(lastID string, counted bool) Sequence {
 	var s Sequence
 	if lastID != "" {
+		s.counted = counted
 		s.setLast(lastID)
 	}
 	return s
@@ -40,6 +43,9 @@
 // CanResume reports whether another upstream can go on after the last event.
 func (s *Sequence) CanResume() bool { return !s.unidentified }
 
+// SkipsNumbers reports whether the IDs are known not to be the numbers of the events.
+func (s *Sequence) SkipsNumbers() bool { return s.followed && !s.counted }
+
 // Joining reports whether the next event is the first of an upstream that goes on with the stream.
 func (s *Sequence) Joining() bool { return s.joining }
 
@@ -74,7 +80,7 @@
 		s.first = e.id
 	}
 	s.setLast(e.id)
-	s.joining, s.unidentified = false, false
+	s.followed, s.joining, s.unidentified = true, false, false
 	return nil
 }
 
@@ -98,10 +104,7 @@
 	case s.last == "":
 		s.counted = numeric && number <= maxCountedStart
 	case !numeric || !s.numeric:
-		s.counted = false
-		if s.joining {
-			return ErrIncomparable
-		}
+		return s.compareText(id)
 	case number == s.number:
 		return ErrRepeated
 	case number < s.number:
@@ -115,6 +118,21 @@
 	return ""
 }
 
+// compareText is compare for IDs of which one is no number. They only tell whether they are the same. Where the caller itself has named the last
+// event, the upstream has to know whether it can go on.
+func (s *Sequence) compareText(id string) ErrorKind {
+	s.counted = false
+	switch {
+	case !s.joining:
+		return ""
+	case id == s.last:
+		return ErrRepeated
+	case s.followed:
+		return ErrIncomparable
+	}
+	return ""
+}
+
 func (s *Sequence) setLast(id string) {
 	s.last = id
 	s.number, s.numeric = parseID(id)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"mime"
@@ -17,7 +16,7 @@
 // errEventTooLong means that an upstream sent more than maxEventBytes without ending an event.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
-// errNoResumption means that the answer to a request to resume a stream does not begin with an event that has an ID.
+// errNoResumption means that the answer to a request to resume a stream holds no event.
 var errNoResumption = errors.New("the answer does not resume the stream")
 
 // isEventStream reports whether a response says that its body is an event stream.
@@ -26,58 +25,53 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-// copyEvents relays a stream in complete events, so that another upstream can resume it after any of them. lastID is
-// the ID of the last event that the caller already has. copyEvents returns the ID of the last event that it relayed, or
-// lastID if there was none. If the caller has got events with IDs, the answer must go on with such an event: anything else would
-// stand in the middle of the stream. observe is called with the events before they are relayed.
-func (w *responseWriter) copyEvents(resp *exchange.Response, lastID string, observe func(events []byte)) (string, error) {
+// copyEvents relays a stream in complete events, so that another upstream can resume it after any of them. events follows what the caller
+// gets: an answer that does not go on after its last event ends before that is seen.
+func (w *responseWriter) copyEvents(resp *exchange.Response, events *eventstream.Sequence) error {
 	buffer := make([]byte, copyBufferBytes)
 	var pending []byte
-	started, resumes := false, w.bytes > 0 && lastID != ""
+	resumes, started := w.bytes > 0 && events.Joining(), false
 	for {
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if end := eventstream.CompleteLen(pending); end > 0 {
-			complete := pending[:end]
-			observe(complete)
-			if _, found := lastEventID(complete); resumes && !started && !found {
-				return lastID, errNoResumption
-			}
 			started = true
-			if writeErr := w.writeAndFlush(complete); writeErr != nil {
-				return lastID, writeErr
-			}
-			if id, found := lastEventID(complete); found {
-				lastID = id
+			if err := w.writeEvents(pending[:end], events); err != nil {
+				return err
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case err == io.EOF && resp.Framing == exchange.FramedByConn && (!started || eventstream.HoldsEvent(pending)):
-			return lastID, resp.TruncatedError()
-		case err == io.EOF && resumes && !started && len(pending) > 0:
-			return lastID, errNoResumption
+		case err == io.EOF && isTruncated(resp, started, pending):
+			return resp.TruncatedError()
+		case err == io.EOF && resumes && events.Joining():
+			return errNoResumption
 		case err == io.EOF && len(pending) > 0:
 			// The upstream's response is complete, so its unterminated last event is relayed too.
-			return lastID, w.writeAndFlush(pending)
+			return w.writeAndFlush(pending)
 		case err == io.EOF:
-			return lastID, nil
+			return nil
 		case err != nil:
-			return lastID, err
+			return err
 		case len(pending) > maxEventBytes:
-			return lastID, errEventTooLong
+			return errEventTooLong
 		}
 	}
 }
 
-// lastEventID returns the ID of the last event that has one, and false if none has.
-func lastEventID(events []byte) (string, bool) {
-	for len(events) > 0 {
-		start := 1 + bytes.LastIndexAny(events, "\r\n")
-		if id, found := bytes.CutPrefix(events[start:], []byte("id:")); found {
-			return string(bytes.TrimSpace(id)), true
+// writeEvents writes those of complete events that follow the ones before them.
+func (w *responseWriter) writeEvents(complete []byte, events *eventstream.Sequence) error {
+	length, orderErr := events.Add(complete)
+	if length > 0 {
+		if err := w.writeAndFlush(complete[:length]); err != nil {
+			return err
 		}
-		events = events[:max(start-1, 0)]
 	}
-	return "", false
+	return orderErr
+}
+
+// isTruncated reports whether a stream that has ended with rest after its last complete event is truncated. started is whether it has had
+// a complete event.
+func isTruncated(resp *exchange.Response, started bool, rest []byte) bool {
+	return resp.Framing == exchange.FramedByConn && (!started || eventstream.HoldsEvent(rest))
 }
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cassiabridge/cassiabridge/eventstream"
 	"github.com/cassiabridge/cassiabridge/exchange"
 )
 
@@ -42,7 +43,7 @@
 		defer resp.Close()
 		caller := &goneCaller{ResponseRecorder: httptest.NewRecorder(), writes: writes}
 		w := &responseWriter{ResponseWriter: caller, controller: http.NewResponseController(caller.ResponseRecorder)}
-		_, err = w.copyEvents(resp, "", func([]byte) {})
+		err = w.copyEvents(resp, &eventstream.Sequence{})
 		var own *Error
 		if assert.ErrorAs(t, err, &own, "%d writes", writes) {
 			assert.Equal(t, ErrCallerGone, own.Kind)
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -36,9 +36,7 @@
 type generation struct {
 	server *Server
 	r      *request
-	// lastEventID is the ID of the last stream event that was sent to the caller.
-	lastEventID string
-	// events follows the events that the caller gets.
+	// events follows the stream events that the caller gets.
 	events eventstream.Sequence
 	// prefilled is set once a prefill for this request has succeeded.
 	prefilled bool
@@ -56,7 +54,7 @@
 // generate serves a request through a prefill engine and a decode engine, and retries as far as the route's retry
 // policy and the retry budget allow.
 func (s *Server) generate(ctx context.Context, r *request) *Error {
-	g := &generation{server: s, r: r, lastEventID: r.info.LastEventID, events: eventstream.Resume(r.info.LastEventID)}
+	g := &generation{server: s, r: r, events: s.followEvents(r)}
 	r.w.onFirstByte = func() {
 		took := s.control.now().Sub(r.arrivedAt)
 		s.metrics.FirstEvent.WithLabelValues(r.route.Name).Observe(took.Seconds())
@@ -147,7 +145,7 @@
 	s, r := g.server, g.r
 	prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
-	result := s.exchange(prefillCtx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), Stage: placement.StagePrefill, LastEventID: g.lastEventID})
+	result := s.exchange(prefillCtx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), Stage: placement.StagePrefill, LastEventID: g.events.LastID()})
 	if result.resp == nil {
 		if prefillCtx.Err() != nil && ctx.Err() == nil {
 			// Treat an engine that exceeds prefillTimeout as unreachable, unless this VM may not have reached it.
@@ -226,7 +224,7 @@
 		r.state = r.state.WithSent().WithOutcome(attempt.Unsent)
 		return exchangeResult{outcome: attempt.Unsent, err: errors.New("the chosen engine may get no new work")}
 	}
-	return s.exchange(ctx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), Source: source, LastEventID: g.lastEventID})
+	return s.exchange(ctx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), Source: source, LastEventID: g.events.LastID()})
 }
 
 // relayResponse relays the response of a decode engine to the caller. Resumable streams are relayed in complete events,
@@ -257,9 +255,14 @@
 	if r.w.bytes == 0 {
 		s.recordOrigin(r, from)
 	}
+	last := g.events.LastID()
 	g.events.BeginAnswer()
-	lastID, err := r.w.copyEvents(result.resp, g.lastEventID, func(events []byte) { g.observeEvents(from, events) })
-	g.lastEventID = lastID
+	err := r.w.copyEvents(result.resp, &g.events)
+	s.noteNumbering(r, &g.events)
+	if last != "" && !g.events.Joining() {
+		s.log.Info("stream-joined", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("SoftwareVersion", from.SoftwareVersion),
+			zap.String("LastEvent", last), zap.String("FirstEvent", g.events.FirstID()))
+	}
 	if r.w.bytes > 0 {
 		r.versions = placement.VersionLimit{Limited: true, Version: from.SoftwareVersion}
 	}
@@ -271,30 +274,24 @@
 	case errors.As(err, &own):
 		return own, attempt.End
 	}
-	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", lastID), zap.Stringer("Framing", result.resp.Framing),
-		zap.Error(err))
-	s.control.recordFailure(from, false)
-	if ctx.Err() == nil {
-		s.endBrokenRun(r, from, r.answer.lasted)
+	g.recordBroken(ctx, from, result.resp, err)
+	step := attempt.End
+	if g.events.CanResume() {
+		step = r.state.Next(attempt.Broken)
 	}
-	r.avoid = append(r.avoid, from.ID)
-	return s.forwardError(ctx, r, err), r.state.Next(attempt.Broken)
+	return s.forwardError(ctx, r, err), step
 }
 
-// observeEvents logs where the events of an upstream go on with a stream, and events that do not follow those before them.
-func (g *generation) observeEvents(from placement.Replica, events []byte) {
+// recordBroken logs a stream that broke off, or whose events do not follow each other, and avoids its replica.
+func (g *generation) recordBroken(ctx context.Context, from placement.Replica, resp *exchange.Response, err error) {
 	s, r := g.server, g.r
-	joining, last := g.events.Joining(), g.events.LastID()
-	_, err := g.events.Add(events)
-	var orderErr *eventstream.Error
-	if errors.As(err, &orderErr) {
-		s.metrics.MisplacedEvents.WithLabelValues(r.pool.Name, string(orderErr.Kind)).Inc()
-		s.log.Warn("stream-out-of-order", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.Bool("Joining", joining), zap.Error(err))
-	}
-	if joining && !g.events.Joining() {
-		s.log.Info("stream-joined", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("SoftwareVersion", from.SoftwareVersion),
-			zap.String("LastEvent", last), zap.String("FirstEvent", g.events.FirstID()))
+	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", g.events.LastID()), zap.Stringer("Framing", resp.Framing),
+		zap.Bool("CanResume", g.events.CanResume()), zap.Error(err))
+	s.control.recordFailure(from, false)
+	if !s.noteMisplaced(r, from, err) && ctx.Err() == nil {
+		s.endBrokenRun(r, from, r.answer.lasted)
 	}
+	r.avoid = append(r.avoid, from.ID)
 }
 
 // discardResponse discards an upstream's response that is not relayed: a failure that is retried, or one that would
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -46,6 +46,7 @@
 	inFlight  inFlight
 	workTimes workTimes
 	stopping  stopping
+	numbering numbering
 	// endChecks joins simultaneous checks of the same replica.
 	endChecks singleflight.Group
 }
