gateway: a stream in chunks that ends inside an event is not complete

Cause: an orderly end of the chunks was taken for the end of the stream; an upstream whose handler returns when it breaks off, or a proxy before it, ends them so. The rule for streams without framing holds for event streams in chunks too, but for empty ones. A body whose length was announced is whole with that length.

--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -56,7 +56,7 @@
 			for _, piece := range scenario.pieces {
 				tail.Add([]byte(piece))
 			}
-			assert.Equal(t, scenario.truncated, !tail.Started() || tail.InsideEvent())
+			assert.Equal(t, scenario.truncated, !tail.Started() || HoldsEvent(tail.Rest()))
 		})
 	}
 }
--- a/eventstream/tail.go
+++ b/eventstream/tail.go
@@ -44,5 +44,5 @@
 // Started reports whether an event has been complete.
 func (t *Tail) Started() bool { return t.started }
 
-// InsideEvent reports whether the stream would end inside an event if it ended here.
-func (t *Tail) InsideEvent() bool { return HoldsEvent(t.rest[t.length:]) }
+// Rest returns the bytes after the last complete event, without the middle of a long one. They are valid until the next Add.
+func (t *Tail) Rest() []byte { return t.rest[t.length:] }
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -130,12 +130,11 @@
 	return w.copyWith(resp, func([]byte) {})
 }
 
-// copyUnframedEvents is copyBody for an event stream that only the end of its connection ends. Such a stream is truncated
-// if it ends inside an event.
-func (w *responseWriter) copyUnframedEvents(resp *exchange.Response) error {
+// copyStream is copyBody for a stream, which may be truncated although its end is orderly.
+func (w *responseWriter) copyStream(resp *exchange.Response) error {
 	var tail eventstream.Tail
 	err := w.copyWith(resp, func(p []byte) { tail.Add(p) })
-	if err == nil && (!tail.Started() || tail.InsideEvent()) {
+	if err == nil && isTruncated(resp, tail.Started(), tail.Rest()) {
 		return resp.TruncatedError()
 	}
 	return err
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -288,8 +288,8 @@
 	defer resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", resp.Framing))
 	r.w.start(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, resp.Length)
-	if resp.Framing == exchange.FramedByConn && resp.Status == http.StatusOK && (r.route.Stream || isEventStream(resp.Header)) {
-		return relayError(r.w.copyUnframedEvents(resp))
+	if resp.Status == http.StatusOK && (r.route.Stream || isEventStream(resp.Header)) {
+		return relayError(r.w.copyStream(resp))
 	}
 	return relayError(r.w.copyBody(resp))
 }
