gateway: a caller that resumes a stream at a plain service gets the events after its last one

What callers saw: a caller that went on with Last-Event-Id got events again, or a later part of the stream, as complete. An answer that does not go on there breaks off before the caller gets a complete event of it. The IDs of a pool's events count as their numbers until a stream of it has shown otherwise.

--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -127,28 +127,38 @@
 // copyBody streams the body of a response to the caller. If writing fails it returns an Error of kind ErrCallerGone;
 // read errors are returned as they are.
 func (w *responseWriter) copyBody(resp *exchange.Response) error {
-	return w.copyWith(resp, func([]byte) {})
+	return w.copyWith(resp, func([]byte) error { return nil })
 }
 
-// copyStream is copyBody for a stream, which may be truncated although its end is orderly.
-func (w *responseWriter) copyStream(resp *exchange.Response) error {
+// copyStream is copyBody for a stream, which may be truncated although its end is orderly. events follows its events if they are in order,
+// and may be nil; the stream ends before one that is not.
+func (w *responseWriter) copyStream(resp *exchange.Response, events *eventstream.Sequence) error {
 	var tail eventstream.Tail
-	err := w.copyWith(resp, func(p []byte) { tail.Add(p) })
+	err := w.copyWith(resp, func(p []byte) error {
+		complete := tail.Add(p)
+		if events == nil {
+			return nil
+		}
+		_, err := events.Add(complete)
+		return err
+	})
 	if err == nil && isTruncated(resp, tail.Started(), tail.Rest()) {
 		return resp.TruncatedError()
 	}
 	return err
 }
 
-// copyWith copies the body of a response to the caller and calls observe with each part before it is written.
-func (w *responseWriter) copyWith(resp *exchange.Response, observe func([]byte)) error {
+// copyWith copies the body of a response to the caller and calls check with each part before it is written. It ends with the first error.
+func (w *responseWriter) copyWith(resp *exchange.Response, check func([]byte) error) error {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Read(buffer)
 		if n > 0 {
-			observe(buffer[:n])
-			if writeErr := w.writeAndFlush(buffer[:n]); writeErr != nil {
-				return writeErr
+			if err := check(buffer[:n]); err != nil {
+				return err
+			}
+			if err := w.writeAndFlush(buffer[:n]); err != nil {
+				return err
 			}
 		}
 		if err == io.EOF {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -289,7 +289,7 @@
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", resp.Framing))
 	r.w.start(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, resp.Length)
 	if resp.Status == http.StatusOK && (r.route.Stream || isEventStream(resp.Header)) {
-		return relayError(r.w.copyStream(resp))
+		return relayError(s.copyStream(r, from, resp))
 	}
 	return relayError(r.w.copyBody(resp))
 }
--- a/gateway/stream_order.go
+++ b/gateway/stream_order.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/eventstream"
+	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
@@ -29,6 +30,19 @@
 	}
 }
 
+// copyStream relays a stream that no other upstream goes on with.
+func (s *Server) copyStream(r *request, from placement.Replica, resp *exchange.Response) error {
+	if r.route.Repeat != routing.Resumable {
+		return r.w.copyStream(resp, nil)
+	}
+	events := s.followEvents(r)
+	events.BeginAnswer()
+	err := r.w.copyStream(resp, &events)
+	s.noteNumbering(r, &events)
+	s.noteMisplaced(r, from, err)
+	return err
+}
+
 // followEvents returns the Sequence of the stream that a request begins or, where the route allows that, goes on with.
 func (s *Server) followEvents(r *request) eventstream.Sequence {
 	if r.route.Repeat != routing.Resumable {
