gateway, platform: a stream whose events come out of order is not complete

What callers saw: events 1, 3 and 2 of one replica, as a complete stream, on routes whose streams cannot be resumed (ORDER: out of order, a number goes back). The platform's upstreams number the events of a stream (Protocol.NumbersEvents); there such a stream breaks off before its caller gets the event. The native protocol makes no such promise, so only resumable streams are checked there.

--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -71,6 +71,8 @@
 	// NamesAttempts is whether upstreams name the attempt in every response to a request that has one. A response without
 	// it then belongs to no request.
 	NamesAttempts bool
+	// NumbersEvents is whether the IDs of a stream's events are numbers that increase.
+	NumbersEvents bool
 	// ReadRequestInfo parses the headers of a caller's request.
 	ReadRequestInfo func(http.Header) RequestInfo
 	// ForwardHeaders returns a copy of the caller's headers to send to an upstream.
--- a/gateway/stream_order.go
+++ b/gateway/stream_order.go
@@ -32,7 +32,7 @@
 
 // copyStream relays a stream that no other upstream goes on with.
 func (s *Server) copyStream(r *request, from placement.Replica, resp *exchange.Response) error {
-	if r.route.Repeat != routing.Resumable {
+	if !s.protocol.NumbersEvents && r.route.Repeat != routing.Resumable {
 		return r.w.copyStream(resp, nil)
 	}
 	events := s.followEvents(r)
