gateway: a request does not run after its caller has got 408

What callers could see: 408, which promises that the request never runs, for one that ran (REFUSED). Cause: the timeout of a header looks at what the connection waits for, and then writes 408 and closes it; a header whose last byte is read in between was served nevertheless. Found by reading while looking for answers that are written into others. A connection whose timeout has passed is marked under the lock that also says that a request is served, and requests on it end unserved; that holds for the idle timeout too.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -16,9 +16,10 @@
 type connPhase int
 
 const (
-	phaseIdle   connPhase = iota // waiting for the first byte of a request
-	phaseHeader                  // waiting for the rest of a header
-	phaseActive                  // serving a request; no timeout applies
+	phaseIdle    connPhase = iota // waiting for the first byte of a request
+	phaseHeader                   // waiting for the rest of a header
+	phaseActive                   // serving a request; no timeout applies
+	phaseExpired                  // closed because a timeout has passed
 )
 
 // connLimits holds the idle timeout of callers' connections and the timeout for reading a request header.
@@ -76,6 +77,17 @@
 	return tcp.SetLinger(-1)
 }
 
+// handler returns a handler that passes requests to next, but those whose connection has expired: their callers have been told that they do
+// not run.
+func (a *callerConns) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn := callerConnOf(r); conn != nil && conn.hasExpired() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // callerListener accepts connections and registers them with conns.
 type callerListener struct {
 	net.Listener
@@ -132,8 +144,10 @@
 	defer a.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		c.phase = phaseActive
 		c.timer.Stop()
+		if c.phase != phaseExpired {
+			c.phase = phaseActive
+		}
 	case http.StateIdle:
 		c.startPhase(phaseIdle, a.limits().idle)
 	case http.StateClosed, http.StateHijacked:
@@ -145,11 +159,8 @@
 // expire is called by the timer and closes the connection if its deadline has passed. It does nothing while a request
 // is served, or if the deadline has been moved since the timer fired.
 func (c *callerConn) expire() {
-	c.owner.mu.Lock()
-	phase := c.phase
-	expired := !time.Now().Before(c.deadline)
-	c.owner.mu.Unlock()
-	if phase == phaseActive || !expired {
+	phase, expired := c.tryExpire()
+	if !expired {
 		return
 	}
 	if phase == phaseHeader {
@@ -158,6 +169,25 @@
 	c.Close()
 }
 
+// tryExpire marks the connection as expired if its deadline has passed. It returns what the connection was waiting for.
+func (c *callerConn) tryExpire() (connPhase, bool) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	phase := c.phase
+	if phase == phaseActive || phase == phaseExpired || time.Now().Before(c.deadline) {
+		return phase, false
+	}
+	c.phase = phaseExpired
+	return phase, true
+}
+
+// hasExpired reports whether the connection has been closed because a timeout has passed.
+func (c *callerConn) hasExpired() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.phase == phaseExpired
+}
+
 // applyIdleLimit applies a shorter idle limit to connections that are already idle.
 func (a *callerConns) applyIdleLimit() {
 	a.mu.Lock()
--- a/gateway/caller_conns_test.go
+++ b/gateway/caller_conns_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,9 @@
 	limits connLimits
 	conns  *callerConns
 	addr   string
+	// expireWhenRead lets the timeout of each connection pass just when a request has been read.
+	expireWhenRead bool
+	served         atomic.Int64
 }
 
 func newLimitedServer(t *testing.T, limits connLimits) *limitedServer {
@@ -31,15 +35,26 @@
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := &http.Server{ConnState: l.conns.onState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ConnState: l.onState, ConnContext: withCallerConn, Handler: l.conns.handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.served.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
-	})}
+	}))}
 	go func() { _ = server.Serve(callerListener{listener, l.conns}) }()
 	t.Cleanup(func() { server.Close() })
 	l.addr = listener.Addr().String()
 	return l
 }
 
+func (l *limitedServer) onState(conn net.Conn, state http.ConnState) {
+	if c := conn.(*callerConn); l.expireWhenRead && state == http.StateActive {
+		l.conns.mu.Lock()
+		c.deadline = time.Now()
+		l.conns.mu.Unlock()
+		c.expire()
+	}
+	l.conns.onState(conn, state)
+}
+
 func (l *limitedServer) setLimits(limits connLimits) {
 	l.mu.Lock()
 	l.limits = limits
@@ -132,3 +147,12 @@
 		}, 10*time.Second, time.Millisecond)
 	})
 }
+
+// TestRequestIsServedOnAnExpiredConnection guards against a request that is served although its caller has got 408, which promises that it
+// never runs, since the timeout of its header passed while its last byte was read.
+func TestRequestIsServedOnAnExpiredConnection(t *testing.T) {
+	l := newLimitedServer(t, connLimits{idle: longLimit, header: longLimit})
+	l.expireWhenRead = true
+	assert.Contains(t, readUntilClosed(t, l.dial(t, completeRequest)), "408 Request Timeout")
+	assert.Zero(t, l.served.Load())
+}
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -29,7 +29,7 @@
 	}
 	conns := newCallerConns(s.connLimits)
 	s.control.onDeclarations(conns.applyIdleLimit)
-	server := &http.Server{Handler: s, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState, ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(s.log)}
+	server := &http.Server{Handler: conns.handler(s), MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onState, ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(s.log)}
 	go func() {
 		if err := server.Serve(callerListener{listener, conns}); !errors.Is(err, http.ErrServerClosed) {
 			failed <- &Error{Op: "serve " + addr, Kind: ErrUnreadable, Err: err}
