gateway, eventstream: the checks of joined streams judge no sound stream and let no foreign text in

Cause: blocks without data passed as comments; bytes that are no text were judged; what a caller or one faulty replica says counted as knowledge of the pool.

Only comments may come before the first event of the upstream that goes on. Where only the caller has said what came last, an answer that does not follow is an error of that request, 502, and no failure of the engine. For this the status and headers are now written with the first bytes of the body, as they went to the network before too; until then an error or the next answer can take their place. TestSiteStreamOutOfOrderLooksComplete and two more asserted that the answer is cut; they now assert that it is no complete success, since it may be a whole 502, and that none of its events is passed on out of order.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -28,7 +28,7 @@
 		if n == 0 {
 			return true
 		}
-		if len(line) > 0 && !bytes.HasPrefix(line, []byte(":")) && !bytes.HasPrefix(line, []byte("retry:")) {
+		if len(line) > 0 && isField(line) {
 			return true
 		}
 		rest = rest[n:]
@@ -36,12 +36,18 @@
 	return false
 }
 
+// isField reports whether a line is a part of an event: no comment, and not the retry time.
+func isField(line []byte) bool {
+	return !bytes.HasPrefix(line, []byte(":")) && !bytes.HasPrefix(line, []byte("retry:"))
+}
+
 // event is what is known of one event.
 type event struct {
 	// id is its ID, or empty.
 	id string
-	// hasData is whether it has data. A block of lines without data, such as a comment, is no event for its receiver.
-	hasData bool
+	// hasFields is whether it has lines that are no comments and do not set the retry time, and hasData whether it has data. A block of
+	// lines without data is no event for its receiver.
+	hasFields, hasData bool
 }
 
 // cutEvent returns the first event of complete events, and its length in bytes.
@@ -64,6 +70,10 @@
 
 // addLine adds a line of an event.
 func (e *event) addLine(line []byte) {
+	if !isField(line) {
+		return
+	}
+	e.hasFields = true
 	field, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(field) {
 	case "id":
--- a/eventstream/sequence.go
+++ b/eventstream/sequence.go
@@ -2,36 +2,48 @@
 
 import "strconv"
 
-// maxCountedStart is the highest ID of the first event of a stream that may be its number.
+// maxCountedStart is the highest number that the first event of a stream has if the numbers count the events.
 const maxCountedStart = 1
 
+// Numbering is what is known of the IDs of the events of a pool's streams.
+type Numbering struct {
+	// Increasing is whether the IDs are numbers, each higher than the one before it.
+	Increasing bool
+	// Counting is whether IDs that are numbers count the events, so that an upstream which goes on with a stream begins with the next
+	// number.
+	Counting bool
+}
+
 // Sequence follows the events that the caller of one stream gets, from one upstream after the other. An upstream that goes on with a
-// stream is told the ID of the last event; what it sends must follow that event. The zero value is a stream without events. It is not safe
-// for concurrent use.
+// stream is told the ID of the last event, and its first event must follow that one. It is not safe for concurrent use.
 type Sequence struct {
-	// last is the ID of the last event that has one, and number its value if numeric.
-	last    string
-	number  uint64
-	numeric bool
-	// counted is whether the IDs are the numbers of the events, as far as is known: they begin with 0 or 1 and no upstream has left one out
-	// within its answer.
-	counted bool
+	numbering Numbering
+	// last is the ID of the last event that has one, and isNumber whether it is a number.
+	last     string
+	isNumber bool
+	// number is the last number, if hasNumber.
+	number    uint64
+	hasNumber bool
 	// followed is whether an event with an ID has been added.
 	followed bool
-	// joining is whether the next event is the first of an upstream that goes on with the stream, and first the ID of the first event of
-	// the upstream.
+	// joining is whether the next event is the first of an upstream that goes on with the stream, and first the ID of that event.
 	joining bool
 	first   string
 	// unidentified is whether events without an ID follow the last one that has one.
 	unidentified bool
+	steps        Steps
+}
+
+// Steps counts the pairs of successive events in the answers of single upstreams whose IDs are numbers.
+type Steps struct {
+	// All is the number of pairs, and Skipping of those in which numbers are left out.
+	All, Skipping int
 }
 
-// Resume returns the Sequence of a stream whose caller already has the events up to the one with lastID. It is the zero value if lastID is
-// empty. counted is whether the IDs of such streams are the numbers of their events.
-func Resume(lastID string, counted bool) Sequence {
-	var s Sequence
+// NewSequence returns the Sequence of a stream whose caller has the events up to the one with lastID, or none if lastID is empty.
+func NewSequence(lastID string, numbering Numbering) Sequence {
+	s := Sequence{numbering: numbering}
 	if lastID != "" {
-		s.counted = counted
 		s.setLast(lastID)
 	}
 	return s
@@ -40,17 +52,20 @@
 // LastID returns the ID of the last event, or an empty string if none has had one.
 func (s *Sequence) LastID() string { return s.last }
 
-// CanResume reports whether another upstream can go on after the last event.
-func (s *Sequence) CanResume() bool { return !s.unidentified }
-
-// SkipsNumbers reports whether the IDs are known not to be the numbers of the events.
-func (s *Sequence) SkipsNumbers() bool { return s.followed && !s.counted }
+// FirstID returns the ID of the first event of the upstream, or an empty string.
+func (s *Sequence) FirstID() string { return s.first }
 
 // Joining reports whether the next event is the first of an upstream that goes on with the stream.
 func (s *Sequence) Joining() bool { return s.joining }
 
-// FirstID returns the ID of the first event of the upstream, or an empty string.
-func (s *Sequence) FirstID() string { return s.first }
+// Followed reports whether an event with an ID has been added. Until then, only the caller has said where the stream goes on.
+func (s *Sequence) Followed() bool { return s.followed }
+
+// CanResume reports whether it can be told that another upstream goes on after the last event.
+func (s *Sequence) CanResume() bool { return !s.unidentified && (!s.followed || s.isNumber) }
+
+// Steps returns the pairs of successive events so far.
+func (s *Sequence) Steps() Steps { return s.steps }
 
 // BeginAnswer says that the next event comes from another upstream, which has been told LastID.
 func (s *Sequence) BeginAnswer() { s.joining, s.first = s.last != "", "" }
@@ -84,47 +99,50 @@
 	return nil
 }
 
-// addUnidentified adds an event without an ID.
+// addUnidentified adds an event without an ID. Only comments may come before the first event of an upstream that goes on with a stream:
+// anything else is not known to belong to it.
 func (s *Sequence) addUnidentified(e event) error {
-	if !e.hasData {
-		return nil
-	}
-	if s.joining {
+	if s.joining && e.hasFields {
 		return s.errorOf(ErrNoID, e)
 	}
-	s.unidentified = true
+	s.unidentified = s.unidentified || e.hasData
 	return nil
 }
 
-// compare returns why an event with an ID must not follow the last one, or an empty string if it may. It learns whether the IDs count the
-// events.
+// compare returns why an event with an ID must not follow the last one, or an empty string if it may.
 func (s *Sequence) compare(id string) ErrorKind {
-	number, numeric := parseID(id)
+	number, isNumber := parseID(id)
 	switch {
 	case s.last == "":
-		s.counted = numeric && number <= maxCountedStart
-	case !numeric || !s.numeric:
+		s.numbering.Counting = s.numbering.Counting && isNumber && number <= maxCountedStart
+		return ""
+	case s.joining:
+		return s.compareJoint(id, number, isNumber)
+	case isNumber && s.hasNumber:
+		return s.compareStep(number)
+	}
+	return ""
+}
+
+// compareJoint is compare for the first event of an upstream that goes on with the stream.
+func (s *Sequence) compareJoint(id string, number uint64, isNumber bool) ErrorKind {
+	switch {
+	case !isNumber || !s.isNumber:
 		return s.compareText(id)
 	case number == s.number:
 		return ErrRepeated
 	case number < s.number:
 		return ErrBackward
-	case number > s.number+1:
-		if s.joining && s.counted {
-			return ErrGap
-		}
-		s.counted = false
+	case number > s.number+1 && s.numbering.Counting:
+		return ErrGap
 	}
 	return ""
 }
 
-// compareText is compare for IDs of which one is no number. They only tell whether they are the same. Where the caller itself has named the last
-// event, the upstream has to know whether it can go on.
+// compareText is compareJoint for IDs that are no numbers, which only tell whether they are the same. Where the caller itself has named the
+// last event, the upstream has to know whether it can go on.
 func (s *Sequence) compareText(id string) ErrorKind {
-	s.counted = false
 	switch {
-	case !s.joining:
-		return ""
 	case id == s.last:
 		return ErrRepeated
 	case s.followed:
@@ -133,9 +151,32 @@
 	return ""
 }
 
+// compareStep is compare for events of one upstream whose IDs are numbers. It learns whether they count the events.
+func (s *Sequence) compareStep(number uint64) ErrorKind {
+	if number > s.number {
+		s.steps.All++
+		if number > s.number+1 {
+			s.steps.Skipping++
+			s.numbering.Counting = false
+		}
+		return ""
+	}
+	s.numbering.Counting = false
+	switch {
+	case !s.numbering.Increasing:
+		return ""
+	case number == s.number:
+		return ErrRepeated
+	}
+	return ErrBackward
+}
+
 func (s *Sequence) setLast(id string) {
-	s.last = id
-	s.number, s.numeric = parseID(id)
+	number, isNumber := parseID(id)
+	s.last, s.isNumber = id, isNumber
+	if isNumber {
+		s.number, s.hasNumber = number, true
+	}
 }
 
 func (s *Sequence) errorOf(kind ErrorKind, e event) error {
--- a/eventstream/sequence_test.go
+++ b/eventstream/sequence_test.go
@@ -46,11 +46,13 @@
 		{"IDs that are no numbers", []string{"a", "b"}, []string{"c"}, 0, ErrIncomparable},
 		{"the same text again", []string{"a", "b"}, []string{"b"}, 0, ErrRepeated},
 		{"nothing before", none, []string{"5", "6"}, 2, ""},
+		{"goes back behind a text", []string{"5"}, []string{"6", "x", "2"}, 2, ErrBackward},
+		{"repeats an event later", []string{"1", "2"}, []string{"3", "3"}, 1, ErrRepeated},
 		{"a number that is too large", []string{"1"}, []string{"99999999999999999999"}, 0, ErrIncomparable},
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
-			var s Sequence
+			s := NewSequence("", Numbering{Increasing: true, Counting: true})
 			s.BeginAnswer()
 			_, err := s.Add([]byte(events(scenario.first...)))
 			assert.NoError(t, err)
@@ -94,7 +96,7 @@
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
-			s := Resume(scenario.lastID, scenario.counted)
+			s := NewSequence(scenario.lastID, Numbering{Increasing: true, Counting: scenario.counted})
 			s.BeginAnswer()
 			length, err := s.Add([]byte(events(scenario.next...)))
 			assertAdded(t, length, err, events(scenario.next[:scenario.valid]...), scenario.kind)
@@ -137,3 +139,24 @@
 	assert.False(t, s.Joining())
 	assert.Equal(t, "2", s.FirstID())
 }
+
+// TestNumbersThatNeedNotIncrease checks that only joints are judged where upstreams promise no order.
+func TestNumbersThatNeedNotIncrease(t *testing.T) {
+	s := NewSequence("", Numbering{Counting: true})
+	_, err := s.Add([]byte(events("1", "1", "0", "1")))
+	assert.NoError(t, err)
+	s.BeginAnswer()
+	_, err = s.Add([]byte(events("1")))
+	assertAdded(t, 0, err, "", ErrRepeated)
+}
+
+func TestSteps(t *testing.T) {
+	s := NewSequence("x", Numbering{Increasing: true, Counting: true})
+	s.BeginAnswer()
+	_, err := s.Add([]byte(events("1", "2", "4", "5")))
+	assert.NoError(t, err)
+	s.BeginAnswer()
+	_, err = s.Add([]byte(events("9", "10")))
+	assert.NoError(t, err)
+	assert.Equal(t, Steps{All: 4, Skipping: 1}, s.Steps(), "joints are no steps")
+}
--- a/eventstream/tail.go
+++ b/eventstream/tail.go
@@ -20,9 +20,12 @@
 // longer than maxTailBytes, only the start and the end are returned.
 func (t *Tail) Add(p []byte) []byte {
 	t.rest = append(t.rest[:0], t.rest[t.length:]...)
+	// A terminator may have begun in what was there before.
+	searched := max(0, len(t.rest)-maxTerminatorBytes+1)
 	t.rest = append(t.rest, p...)
-	t.length = CompleteLen(t.rest)
-	if t.length > 0 {
+	t.length = 0
+	if end := CompleteLen(t.rest[searched:]); end > 0 {
+		t.length = searched + end
 		t.started = true
 		return t.rest[:t.length]
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -25,12 +25,18 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// isEncoded reports whether a response says that its body is compressed or otherwise encoded, so that its events cannot be read.
+func isEncoded(h http.Header) bool {
+	encoding := h.Get("Content-Encoding")
+	return encoding != "" && encoding != "identity"
+}
+
 // copyEvents relays a stream in complete events, so that another upstream can resume it after any of them. events follows what the caller
-// gets: an answer that does not go on after its last event ends before that is seen.
+// gets: an answer that does not go on after its last event ends before the caller sees that.
 func (w *responseWriter) copyEvents(resp *exchange.Response, events *eventstream.Sequence) error {
 	buffer := make([]byte, copyBufferBytes)
 	var pending []byte
-	resumes, started := w.bytes > 0 && events.Joining(), false
+	started := false
 	for {
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
@@ -42,15 +48,8 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case err == io.EOF && isTruncated(resp, started, pending):
-			return resp.TruncatedError()
-		case err == io.EOF && resumes && events.Joining():
-			return errNoResumption
-		case err == io.EOF && len(pending) > 0:
-			// The upstream's response is complete, so its unterminated last event is relayed too.
-			return w.writeAndFlush(pending)
 		case err == io.EOF:
-			return nil
+			return w.endEvents(resp, events, started, pending)
 		case err != nil:
 			return err
 		case len(pending) > maxEventBytes:
@@ -59,6 +58,20 @@
 	}
 }
 
+// endEvents ends a stream whose upstream has ended its answer with rest after the last complete event. started is whether the answer has had
+// a complete event.
+func (w *responseWriter) endEvents(resp *exchange.Response, events *eventstream.Sequence, started bool, rest []byte) error {
+	switch {
+	case isTruncated(resp, started, rest):
+		return resp.TruncatedError()
+	case w.started && events.Joining():
+		return errNoResumption
+	case len(rest) > 0:
+		return w.writeAndFlush(rest)
+	}
+	return nil
+}
+
 // writeEvents writes those of complete events that follow the ones before them.
 func (w *responseWriter) writeEvents(complete []byte, events *eventstream.Sequence) error {
 	length, orderErr := events.Add(complete)
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -43,6 +43,7 @@
 		defer resp.Close()
 		caller := &goneCaller{ResponseRecorder: httptest.NewRecorder(), writes: writes}
 		w := &responseWriter{ResponseWriter: caller, controller: http.NewResponseController(caller.ResponseRecorder)}
+		w.prepare(resp.Status, resp.Header, resp.Framing, -1)
 		err = w.copyEvents(resp, &eventstream.Sequence{})
 		var own *Error
 		if assert.ErrorAs(t, err, &own, "%d writes", writes) {
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -54,7 +54,8 @@
 // generate serves a request through a prefill engine and a decode engine, and retries as far as the route's retry
 // policy and the retry budget allow.
 func (s *Server) generate(ctx context.Context, r *request) *Error {
-	g := &generation{server: s, r: r, events: s.followEvents(r)}
+	g := &generation{server: s, r: r, events: s.newSequence(r)}
+	defer func() { s.numberings.add(r.pool.Name, g.events.Steps()) }()
 	r.w.onFirstByte = func() {
 		took := s.control.now().Sub(r.arrivedAt)
 		s.metrics.FirstEvent.WithLabelValues(r.route.Name).Observe(took.Seconds())
@@ -227,8 +228,7 @@
 	return s.exchange(ctx, r, replica, Hop{Replica: replica.ID, Account: r.accountName(), Source: source, LastEventID: g.events.LastID()})
 }
 
-// relayResponse relays the response of a decode engine to the caller. Resumable streams are relayed in complete events,
-// so that another engine can resume a stream that breaks. The return values are those of try.
+// relayResponse relays the response of a decode engine to the caller. The return values are those of try.
 func (g *generation) relayResponse(ctx context.Context, from placement.Replica, result exchangeResult) (*Error, attempt.Step) {
 	s, r := g.server, g.r
 	failed := result.resp.Status != http.StatusOK
@@ -237,7 +237,7 @@
 		return g.discardResponse(ctx, from, result.resp, retry)
 	}
 	s.watchAnswer(r)
-	if r.route.Repeat != routing.Resumable || failed {
+	if r.route.Repeat != routing.Resumable || failed || isEncoded(result.resp.Header) && !r.w.started {
 		reqErr := s.relayResponse(r, from, result.resp)
 		switch {
 		case reqErr == nil && !failed:
@@ -247,51 +247,7 @@
 		}
 		return reqErr, attempt.End
 	}
-	defer result.resp.Close()
-	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", result.resp.Framing))
-	if !r.w.started {
-		r.w.start(result.resp.Status, s.protocol.ResponseHeaders(result.resp.Header), result.resp.Framing, -1)
-	}
-	if r.w.bytes == 0 {
-		s.recordOrigin(r, from)
-	}
-	last := g.events.LastID()
-	g.events.BeginAnswer()
-	err := r.w.copyEvents(result.resp, &g.events)
-	s.noteNumbering(r, &g.events)
-	if last != "" && !g.events.Joining() {
-		s.log.Info("stream-joined", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("SoftwareVersion", from.SoftwareVersion),
-			zap.String("LastEvent", last), zap.String("FirstEvent", g.events.FirstID()))
-	}
-	if r.w.bytes > 0 {
-		r.versions = placement.VersionLimit{Limited: true, Version: from.SoftwareVersion}
-	}
-	var own *Error
-	switch {
-	case err == nil:
-		s.recordLasting(r)
-		return nil, attempt.ForwardAnswer
-	case errors.As(err, &own):
-		return own, attempt.End
-	}
-	g.recordBroken(ctx, from, result.resp, err)
-	step := attempt.End
-	if g.events.CanResume() {
-		step = r.state.Next(attempt.Broken)
-	}
-	return s.forwardError(ctx, r, err), step
-}
-
-// recordBroken logs a stream that broke off, or whose events do not follow each other, and avoids its replica.
-func (g *generation) recordBroken(ctx context.Context, from placement.Replica, resp *exchange.Response, err error) {
-	s, r := g.server, g.r
-	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", g.events.LastID()), zap.Stringer("Framing", resp.Framing),
-		zap.Bool("CanResume", g.events.CanResume()), zap.Error(err))
-	s.control.recordFailure(from, false)
-	if !s.noteMisplaced(r, from, err) && ctx.Err() == nil {
-		s.endBrokenRun(r, from, r.answer.lasted)
-	}
-	r.avoid = append(r.avoid, from.ID)
+	return g.relayStream(ctx, from, result.resp)
 }
 
 // discardResponse discards an upstream's response that is not relayed: a failure that is retried, or one that would
--- a/gateway/joined_answers_test.go
+++ b/gateway/joined_answers_test.go
@@ -68,12 +68,15 @@
 func joinAnswers(t testing.TB, answers int, piece int, answer func(n int, lastID string) string) (string, bool) {
 	t.Helper()
 	recorder := httptest.NewRecorder()
-	w := &responseWriter{ResponseWriter: recorder, controller: http.NewResponseController(recorder)}
-	var events eventstream.Sequence
+	w := &responseWriter{ResponseWriter: recorder, controller: http.NewResponseController(recorder), chunks: true}
+	events := eventstream.NewSequence("", eventstream.Numbering{Increasing: true, Counting: true})
 	for n := range answers {
 		client, closeClient := exchange.NewClient(exchange.WithDial(rawUpstream{answer(n, events.LastID()), piece}.dial))
 		resp, err := client.Do(context.Background(), "upstream", exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 		if err == nil {
+			if !w.started {
+				w.prepare(resp.Status, resp.Header, resp.Framing, -1)
+			}
 			events.BeginAnswer()
 			err = w.copyEvents(resp, &events)
 			resp.Close()
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -18,7 +18,7 @@
 type responseWriter struct {
 	http.ResponseWriter
 	controller *http.ResponseController
-	// started is set once the status and headers have been written.
+	// started is set once the status and headers have been written, which is when the body begins or is found to be empty.
 	started bool
 	// answering is started, for other goroutines.
 	answering atomic.Bool
@@ -45,11 +45,16 @@
 	_ = w.controller.SetWriteDeadline(deadline)
 }
 
-// start writes the status and headers of an upstream's response. length is the length of the body in bytes, or -1 if
-// unknown. A body that only the end of the upstream's connection ends gets no other framing here: that would claim that
-// it is complete.
-func (w *responseWriter) start(status int, h http.Header, upstream exchange.Framing, length int64) {
+// prepare sets the status and headers of an upstream's response, which are written when its body begins. Until then, an error or another
+// response can take its place. length is the length of the body in bytes, or -1 if unknown. A body that only the end of the upstream's
+// connection ends gets no other framing here: that would claim that it is complete.
+func (w *responseWriter) prepare(status int, h http.Header, upstream exchange.Framing, length int64) {
 	header := w.Header()
+	closing := header["Connection"]
+	clear(header)
+	if closing != nil {
+		header["Connection"] = closing
+	}
 	for name, values := range h {
 		header[name] = values
 	}
@@ -66,10 +71,18 @@
 		// This keeps net/http from sending chunks.
 		header.Set("Transfer-Encoding", "identity")
 	}
-	w.started, w.status = true, status
+	w.status = status
+}
+
+// start writes the status and headers that prepare has set.
+func (w *responseWriter) start() {
+	if w.started {
+		return
+	}
+	w.started = true
 	w.answering.Store(true)
 	w.protectEnd(true)
-	w.WriteHeader(status)
+	w.WriteHeader(w.status)
 }
 
 // callerFraming returns what ends the body that the caller receives.
@@ -84,7 +97,10 @@
 }
 
 // finish marks the response as complete.
-func (w *responseWriter) finish() { w.protectEnd(false) }
+func (w *responseWriter) finish() {
+	w.start()
+	w.protectEnd(false)
+}
 
 // protectEnd makes the connection of a body that it ends close with a reset until the body is complete, so that the
 // caller can tell a truncated body from a complete one.
@@ -97,6 +113,7 @@
 // writeAndFlush writes a part of the body and flushes it, so that streams are not delayed by buffering. If that fails it
 // returns an Error of kind ErrCallerGone.
 func (w *responseWriter) writeAndFlush(p []byte) error {
+	w.start()
 	if w.bytes == 0 {
 		w.noteFirstByte()
 	}
--- /dev/null
+++ b/gateway/resumable_stream.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiabridge/cassiabridge/attempt"
+	"github.com/cassiabridge/cassiabridge/exchange"
+	"github.com/cassiabridge/cassiabridge/placement"
+)
+
+// relayStream relays the stream of a decode engine in complete events, so that another engine can go on with a stream that breaks. The
+// return values are those of try.
+func (g *generation) relayStream(ctx context.Context, from placement.Replica, resp *exchange.Response) (*Error, attempt.Step) {
+	s, r := g.server, g.r
+	defer resp.Close()
+	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", resp.Framing))
+	if !r.w.started {
+		r.w.prepare(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, -1)
+		s.recordOrigin(r, from)
+	}
+	last := g.events.LastID()
+	g.events.BeginAnswer()
+	err := r.w.copyEvents(resp, &g.events)
+	if last != "" && !g.events.Joining() {
+		s.log.Info("stream-joined", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("SoftwareVersion", from.SoftwareVersion),
+			zap.String("LastEvent", last), zap.String("FirstEvent", g.events.FirstID()))
+	}
+	if r.w.started {
+		r.versions = placement.VersionLimit{Limited: true, Version: from.SoftwareVersion}
+	}
+	var own *Error
+	switch {
+	case err == nil:
+		s.recordLasting(r)
+		return nil, attempt.ForwardAnswer
+	case errors.As(err, &own):
+		return own, attempt.End
+	}
+	return g.endBrokenStream(ctx, from, resp, err)
+}
+
+// endBrokenStream handles a stream that broke off, or that does not go on where it should. The return values are those of try.
+func (g *generation) endBrokenStream(ctx context.Context, from placement.Replica, resp *exchange.Response, err error) (*Error, attempt.Step) {
+	s, r := g.server, g.r
+	s.log.Info("stream-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("LastEvent", g.events.LastID()), zap.Stringer("Framing", resp.Framing),
+		zap.Bool("CanResume", g.events.CanResume()), zap.Error(err))
+	r.avoid = append(r.avoid, from.ID)
+	misplaced := s.logMisplaced(r, from, err)
+	switch {
+	case misplaced && !g.events.Followed():
+		// The caller has named an event after which no engine goes on.
+		return s.forwardError(ctx, r, err), attempt.End
+	case !misplaced:
+		s.control.recordFailure(from, false)
+		if ctx.Err() == nil {
+			s.endBrokenRun(r, from, r.answer.lasted)
+		}
+	}
+	if !g.events.CanResume() {
+		return s.forwardError(ctx, r, err), attempt.End
+	}
+	return s.forwardError(ctx, r, err), r.state.Next(attempt.Broken)
+}
--- a/integration/site_joined_streams_test.go
+++ b/integration/site_joined_streams_test.go
@@ -43,7 +43,9 @@
 		r := streamRequest("/check/a")
 		r.header["Last-Event-Id"] = lastEvent
 		a := s.send(s.vms[0], r)
-		assert.False(t, lastEvent == "3" && a.complete, a.body)
+		if lastEvent == "3" {
+			assertNotServed(t, a)
+		}
 	}
 }
 
@@ -57,7 +59,9 @@
 	for range 6 {
 		r := streamRequest("/check/a")
 		r.header["Last-Event-Id"] = "1000000"
-		assert.False(t, s.send(s.vms[0], r).complete)
+		a := s.send(s.vms[0], r)
+		assertNotServed(t, a)
+		assert.Equal(t, http.StatusBadGateway, a.status)
 	}
 	assert.Empty(t, s.logLines(s.vms[0], "Event=replica-ejected"))
 }
--- a/integration/site_stream_order_test.go
+++ b/integration/site_stream_order_test.go
@@ -70,6 +70,12 @@
 	assert.Equal(t, complete, a.complete, "complete: %v", a.err)
 }
 
+// assertNotServed checks that a caller got no complete success: a stream that breaks off, or an error.
+func assertNotServed(t *testing.T, a siteResponse) {
+	t.Helper()
+	assert.False(t, a.complete && a.status == http.StatusOK, a.body)
+}
+
 // TestSiteResumedStreamGoesBack guards against a stream that goes on with events which its caller already has, or which leave some out,
 // because the next replica does not go on after the last event that it is told of.
 func TestSiteResumedStreamGoesBack(t *testing.T) {
@@ -126,7 +132,8 @@
 	for _, path := range []string{"/check/a", "/review/a"} {
 		t.Run(path, func(t *testing.T) {
 			a := s.send(s.vms[0], streamRequest(path))
-			assert.False(t, a.complete, a.body)
+			assertNotServed(t, a)
+			assert.NotContains(t, a.body, "id: 2\n")
 		})
 	}
 }
