gateway: an answer without framing does not complete a stream in chunks

Cause: the last chunk claims more than the end of a connection says. Evidence: TestSiteUnframedSecondAnswerCompletesAStream failed before and passes now. Such a stream breaks off at its end, so that its caller can resume it and learn whether more comes.

--- a/gateway/resumable_stream.go
+++ b/gateway/resumable_stream.go
@@ -50,8 +50,8 @@
 	r.avoid = append(r.avoid, from.ID)
 	misplaced := s.logMisplaced(r, from, err)
 	switch {
-	case misplaced && !g.events.Followed():
-		// The caller has named an event after which no engine goes on.
+	case errors.Is(err, errEndUnknown), misplaced && !g.events.Followed():
+		// No other engine would tell more than this one, or the caller has named an event after which no engine goes on.
 		return s.forwardError(ctx, r, err), attempt.End
 	case !misplaced:
 		s.control.recordFailure(from, false)
