exchange, transport: an answer without framing of a killed replica is not complete

Class: the end of a connection taken for the end of what it carries. That costs one connection for each such answer, and none for others. A process that is back at its address within that time is not told apart.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -9,15 +9,15 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 const (
@@ -81,7 +81,7 @@
 func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
 
 // Dial opens a connection to an address, an IP address and port.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+type Dial = transport.Dial
 
 // DirectDial opens a connection whose peer is given up within seconds once it stops responding.
 func DirectDial(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -188,8 +188,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
-	c.onDial(addr)
-	raw, err := c.dial(dialCtx, "tcp", addr)
+	raw, err := c.observedDial(dialCtx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -230,7 +229,7 @@
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
 		Framing: framingOf(httpResp),
 		body:    httpResp.Body, onRead: r.OnRead, conn: connection, client: c, addr: addr, stop: stop, write: write,
-		cause: func(err error) error { return cause(ctx, err) }}
+		cause: func(err error) error { return cause(ctx, err) }, hasEnded: func() bool { return transport.HasEnded(ctx, c.observedDial, addr) }}
 	resp.keepAlive = !httpResp.Close && connection.applyKeepAlive(c.now(), httpResp.Header)
 	return resp, nil
 }
@@ -240,13 +239,13 @@
 func (c *Client) Refuses(ctx context.Context, addr string) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
+	return transport.Refuses(dialCtx, c.observedDial, addr)
+}
+
+// observedDial opens a connection and tells the observer of it.
+func (c *Client) observedDial(ctx context.Context, network, addr string) (net.Conn, error) {
 	c.onDial(addr)
-	raw, err := c.dial(dialCtx, "tcp", addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	raw.Close()
-	return false
+	return c.dial(ctx, network, addr)
 }
 
 // cause returns the cancellation cause of ctx if ctx is done, and err otherwise.
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -32,6 +32,8 @@
 	keepAlive bool
 	closed    bool
 	onRead    func(bytes int)
+	// hasEnded reports whether the process of the upstream has ended.
+	hasEnded func() bool
 	// cause replaces an error of the connection by the cancellation cause of the request's context, if it is done.
 	cause func(error) error
 }
@@ -99,9 +101,7 @@
 	if n > 0 && r.onRead != nil {
 		r.onRead(n)
 	}
-	if err == io.EOF && r.Framing == FramedByConn && !r.write.succeedsWithin(writeEndDelay) {
-		// The upstream closed the connection before it had read the request, which resets it. The write has met the reset, and what
-		// looks like the end of the body is where it broke off.
+	if err == io.EOF && !r.sawEOF && r.Framing == FramedByConn && r.brokeOff() {
 		return n, r.TruncatedError()
 	}
 	if err == io.EOF {
@@ -114,6 +114,13 @@
 	return n, nil
 }
 
+// brokeOff reports whether what looks like the end of a body without framing is where it broke off. An upstream that closes the connection
+// before it has read the request resets it, and the write may have met the reset; the kernel ends the connections of a killed process in an
+// orderly way.
+func (r *Response) brokeOff() bool {
+	return !r.write.succeedsWithin(writeEndDelay) || r.hasEnded()
+}
+
 // TruncatedError returns the error for a body that turns out to be truncated although it ended with io.EOF.
 func (r *Response) TruncatedError() error {
 	return &Error{Op: "read answer of " + r.addr, Kind: ErrBroken, Err: io.ErrUnexpectedEOF}
--- /dev/null
+++ b/transport/ended.go
@@ -0,0 +1,44 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// endCheckDelay is how long a killed process may still accept connections after others of it have ended.
+	endCheckDelay = 5 * time.Millisecond
+	// endCheckTimeout bounds the check whether a process has ended.
+	endCheckTimeout = 100 * time.Millisecond
+)
+
+// Dial opens a connection to an address, an IP address and port.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// HasEnded reports whether the process at addr, which has just closed a connection, has ended: it refuses others. The kernel ends the
+// connections of a killed process in an orderly way, so that a body without framing looks complete. It returns false if that cannot be
+// told.
+func HasEnded(ctx context.Context, dial Dial, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	select {
+	case <-time.After(endCheckDelay):
+	case <-ctx.Done():
+		return false
+	}
+	return Refuses(ctx, dial, addr)
+}
+
+// Refuses reports whether connections to addr are refused, which means that no process listens there. It returns false if no answer
+// arrives in time.
+func Refuses(ctx context.Context, dial Dial, addr string) bool {
+	conn, err := dial(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
