--- a/service/client.go
+++ b/service/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -130,7 +131,7 @@
 		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: fmt.Errorf("response is longer than %d bytes", c.maxResponseBytes)}
 	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	if unframed && !write.Succeeded() {
+	if unframed && (!write.Succeeded() || transport.HasEnded(ctx, (&net.Dialer{}).DialContext, upstream.Address)) {
 		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: io.ErrUnexpectedEOF}
 	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: unframed}, nil
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -77,3 +77,28 @@
 		closeClient()
 	}
 }
+
+// TestResponseOfAKilledUpstreamLooksComplete guards against a response without a length that looks complete when its upstream is killed:
+// the kernel ends its connections in an orderly way.
+func TestResponseOfAKilledUpstreamLooksComplete(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		defer listener.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part of the ")
+		}
+	}()
+	candidates := func() []resource.Upstream {
+		return []resource.Upstream{{Name: "a", Address: listener.Addr().String(), Places: 4}}
+	}
+	client, closeClient := NewClient(1 << 20)
+	defer closeClient()
+	response, err := client.Do(t.Context(), candidates, Call{Method: http.MethodPost, Target: "/", Header: http.Header{}, Operation: "op"})
+	assert.Error(t, err, "%q", response.Body)
+}
