relay: a caller that ends its connection first is no error of the upstream in the log

connection-of-peer-ended named a closed connection as its error after every framed answer, where OPERATIONS says that an error is a reset.

--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -20,7 +20,7 @@
 
 // run relays in both directions until one side has ended its connection. An upstream's end or reset reaches the caller as what it
 // was: an answer that only the end of its connection completes must not look complete after a reset, nor if this process is killed. run
-// returns nil if the upstream's end was regular.
+// returns nil if the upstream's end was regular, or the caller ended its connection first.
 func (t tunnel) run() error {
 	// The kernel ends the connections of a killed process in an orderly way, unless this is set.
 	setResetOnClose(t.caller, true)
@@ -47,6 +47,9 @@
 	t.upstream.Close()
 	<-upstreamEnded
 	t.caller.Close()
+	if errors.Is(upstreamErr, net.ErrClosed) {
+		return nil
+	}
 	return upstreamErr
 }
 
