soak: random faults on real processes, and callers that judge every event of their streams

First version: VMs, replicas and a store under a seeded plan of faults, a proxy that harms connections, callers that resume streams at other VMs, and a checker that knows each event's successor.

--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// firstPort and lastPort bound the ports of processes. They lie below those that the kernel gives to outgoing connections.
+	firstPort, lastPort = 12_000, 32_000
+	// maxPortTries is how many ports are tried before there is none.
+	maxPortTries = 100
+	// stopTimeout is the time after SIGTERM at which a process is killed.
+	stopTimeout = vmGrace + time.Second
+)
+
+// freeAddress returns a loopback address at which nothing listens.
+func freeAddress() (string, error) {
+	var err error
+	for range maxPortTries {
+		addr := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", addr); err == nil {
+			listener.Close()
+			return addr, nil
+		}
+	}
+	return "", &Error{"find a free port", err}
+}
+
+// freeAddresses returns n different loopback addresses at which nothing listens.
+func freeAddresses(n int) ([]string, error) {
+	taken := map[string]bool{}
+	var addrs []string
+	for len(addrs) < n {
+		addr, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		if !taken[addr] {
+			taken[addr] = true
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs, nil
+}
+
+// process is a process that is started again and again. It is safe for concurrent use.
+type process struct {
+	name, dir string
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	ended     chan struct{}
+	closed    bool
+}
+
+// start starts the process. Its output is added to its log, and it is killed if this process ends.
+func (p *process) start(program string, args ...string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	output, err := createLog(p.dir, p.name)
+	if err != nil {
+		return err
+	}
+	defer output.Close()
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = output, output
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return &Error{"start " + p.name, err}
+	}
+	ended := make(chan struct{})
+	go func() {
+		if err := cmd.Wait(); err != nil && cmd.ProcessState.Sys().(syscall.WaitStatus).Exited() {
+			fmt.Fprintln(os.Stderr, p.name, "ended by itself:", err)
+		}
+		close(ended)
+	}()
+	p.cmd, p.ended = cmd, ended
+	return nil
+}
+
+// signal sends a signal to the process, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// end sends a signal, and SIGKILL if the process has not ended after a timeout.
+func (p *process) end(s syscall.Signal) {
+	p.signal(s)
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(stopTimeout):
+		p.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// close kills the process for good.
+func (p *process) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.end(syscall.SIGKILL)
+}
+
+// Build builds the program under test at path.
+func Build(path string) error {
+	build := exec.Command("go", "build", "-o", path, "github.com/cassiabridge/cassiabridge")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return &Error{"build", err}
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/run/main.go
@@ -0,0 +1,59 @@
+// Command run runs the fault soak: real VMs and replicas under random faults, and callers that judge every byte of every stream.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cassiabridge/cassiabridge/soak"
+)
+
+func main() {
+	soak.ServeReplica()
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// run runs one soak and returns an error if a stream broke a rule.
+func run() error {
+	var opts soak.Options
+	flag.Uint64Var(&opts.Seed, "seed", 1, "seed that fixes the plan of the faults")
+	flag.DurationVar(&opts.Duration, "for", 20*time.Second, "how long callers send requests")
+	flag.IntVar(&opts.VMs, "vms", 3, "number of VMs")
+	flag.IntVar(&opts.Replicas, "replicas", 8, "number of replicas; of each four, one prefills, two decode and one is of a plain service")
+	flag.IntVar(&opts.Callers, "callers", 16, "number of concurrent callers")
+	flag.StringVar(&opts.Binary, "binary", "", "path of the cassiabridge program to test; empty: it is built")
+	faults := flag.String("faults", soak.AllKinds.String(), "kinds of faults, separated by commas")
+	flag.Parse()
+	var err error
+	if opts.Faults, err = soak.ParseKinds(*faults); err != nil {
+		return err
+	}
+	if opts.Dir, err = os.MkdirTemp("", "soak"); err != nil {
+		return err
+	}
+	if opts.Binary == "" {
+		opts.Binary = filepath.Join(opts.Dir, "cassiabridge")
+		if err := soak.Build(opts.Binary); err != nil {
+			return err
+		}
+	}
+	opts.Out = os.Stdout
+	report, err := soak.Run(context.Background(), opts)
+	if err != nil {
+		return fmt.Errorf("%w; logs are in %s", err, opts.Dir)
+	}
+	if err := report.Print(os.Stdout); err != nil {
+		return err
+	}
+	if len(report.Breaches) > 0 {
+		return fmt.Errorf("seed %d: %d streams broke a rule; logs are in %s", opts.Seed, len(report.Breaches), opts.Dir)
+	}
+	return os.RemoveAll(opts.Dir)
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,251 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cassiabridge/cassiabridge/standin"
+)
+
+const (
+	siteHost = "notes.example"
+	siteKey  = "key-of-schools"
+	// engineService has prefill and decode engines, plainService replicas without stages.
+	engineService = "engines"
+	plainService  = "plain"
+	// vmGrace is the time that a VM has after SIGTERM.
+	vmGrace = 3 * time.Second
+	// readyTimeout is the time within which all VMs of a new site must be ready, and readyPoll the time between two questions.
+	readyTimeout = 20 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	// retrySlack lets all retries pass.
+	retrySlack = 100_000
+	// storeHeaderTimeout bounds the time of the store to read the head of a request.
+	storeHeaderTimeout = 10 * time.Second
+)
+
+// route is a route of the site.
+type route struct {
+	prefix, service string
+	resumable       bool
+}
+
+// routes holds a route of each kind for each service.
+var routes = []route{
+	{"/check/", engineService, true},
+	{"/review/", engineService, false},
+	{"/feed/", plainService, true},
+	{"/talk/", plainService, false},
+}
+
+// site holds the processes and stand-ins of a run.
+type site struct {
+	opts     Options
+	store    *standin.Store
+	vms      []*vm
+	replicas []*replica
+}
+
+// vm is a VM as a process of its own.
+type vm struct {
+	process
+	binary, settings   string
+	callers, readiness string
+}
+
+// startSite starts the processes of a run. The returned function ends them; it is not nil in case of an error.
+func startSite(opts Options, plan Plan) (*site, func(), error) {
+	s := &site{opts: opts, store: standin.NewStore()}
+	var closers []func()
+	stop := func() {
+		for _, c := range closers {
+			c()
+		}
+	}
+	storeAddr, closeStore, err := serveStore(s.store)
+	if err != nil {
+		return s, stop, err
+	}
+	closers = append(closers, closeStore)
+	s.store.Configure(configuration())
+	for n := range opts.Replicas {
+		r, closeReplica, err := startReplica(s, n, plan.unframed)
+		closers = append(closers, closeReplica)
+		if err != nil {
+			return s, stop, err
+		}
+		s.replicas = append(s.replicas, r)
+	}
+	for n := range opts.VMs {
+		v, err := newVM(opts, n, storeAddr)
+		if err == nil {
+			closers = append(closers, v.close)
+			err = v.run()
+		}
+		if err != nil {
+			return s, stop, err
+		}
+		s.vms = append(s.vms, v)
+	}
+	return s, stop, nil
+}
+
+func serveStore(store *standin.Store) (string, func(), error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, &Error{"start store", err}
+	}
+	server := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: storeHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), func() { server.Close() }, nil
+}
+
+func configuration() standin.Configuration {
+	c := standin.Configuration{
+		Version: 1,
+		Services: []map[string]any{
+			{"name": engineService, "healthPath": healthPath, "maxConnections": 300,
+				"engine": map[string]any{"slots": 48, "kvCapacityTokens": 76160, "kvBytes": 163840, "kvRetentionS": 0.5, "stride": 1}},
+			{"name": plainService, "healthPath": healthPath, "maxConnections": 300},
+		},
+		Limits:  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		Tenants: []map[string]any{{"name": "schools", "apiKeys": []string{siteKey}, "unit": "token_count", "uncachedTokens": 200, "ratePerS": 1e9, "burst": 1e9}},
+	}
+	for _, r := range routes {
+		overrides := map[string]any{"resumable": r.resumable, "maxAttempts": 3, "timeoutMs": 20000}
+		c.Routes = append(c.Routes, standin.Route(r.prefix, siteHost, r.prefix, "streaming", r.service, overrides))
+	}
+	return c
+}
+
+// newVM writes the settings of a VM.
+func newVM(opts Options, n int, storeAddr string) (*vm, error) {
+	addrs, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
+	}
+	name := vmName(n)
+	v := &vm{process: process{name: name, dir: opts.Dir}, binary: opts.Binary, settings: filepath.Join(opts.Dir, name+".json"), callers: addrs[0], readiness: addrs[1]}
+	data, err := json.Marshal(map[string]any{
+		"VM": name, "AvailabilityZone": "zone-a",
+		"Listen":  map[string]any{"Callers": addrs[0], "Readiness": addrs[1], "Metrics": addrs[2], "Peers": addrs[3]},
+		"Gateway": map[string]any{"Store": storeAddr, "RetrySlack": retrySlack, "Grace": vmGrace.Milliseconds(), "Memory": 134},
+		"Log":     map[string]any{"Level": "info"},
+	})
+	if err == nil {
+		err = os.WriteFile(v.settings, data, 0o600)
+	}
+	if err != nil {
+		return nil, &Error{"write settings", err}
+	}
+	return v, nil
+}
+
+func (v *vm) run() error { return v.start(v.binary, "serve", v.settings) }
+
+// awaitReady waits until all VMs are ready.
+func (s *site) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, v := range s.vms {
+		for !v.isReady() {
+			if ctx.Err() != nil || time.Now().After(deadline) {
+				return &Error{"await VMs", fmt.Errorf("%s is not ready, see %s", v.name, logPath(s.opts.Dir, v.name))}
+			}
+			sleep(ctx, readyPoll)
+		}
+	}
+	return nil
+}
+
+func (v *vm) isReady() bool {
+	resp, err := http.Get("http://" + v.readiness + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// replica is a replica as a process of its own, which is listed at the address of its proxy.
+type replica struct {
+	process
+	cfg replicaConfig
+	// address is that of the proxy, starts the number of starts, and sequence that of the entry.
+	address, service string
+	starts, sequence int
+	store            *standin.Store
+	mu               sync.Mutex
+}
+
+// rolesOfReplicas holds the stages of replicas by number; an empty one is of the plain service.
+var rolesOfReplicas = []string{"prefill", "decode", "decode", ""}
+
+// softwareVersions are the versions of replicas that serve at once.
+var softwareVersions = [2]string{"v1", "v2"}
+
+// startReplica starts the n-th replica and its proxy. The returned function ends them; it is not nil in case of an error.
+func startReplica(s *site, n int, unframed bool) (*replica, func(), error) {
+	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: engineService, store: s.store}
+	addrs, err := freeAddresses(2)
+	if err != nil {
+		return r, r.close, err
+	}
+	r.address = addrs[1]
+	roles := len(rolesOfReplicas)
+	r.cfg = replicaConfig{Stage: rolesOfReplicas[n%roles], Version: softwareVersions[0], Address: addrs[0], Seed: s.opts.Seed, Odd: odditiesOf(s.opts.Faults), Unframed: unframed}
+	if r.cfg.Stage == "" {
+		r.service = plainService
+	}
+	if s.opts.Faults.Has(Versions) {
+		r.cfg.Version = softwareVersions[(n/roles+n)%len(softwareVersions)]
+	}
+	closeProxy, err := startProxy(r.address, r.cfg.Address, r.name, s.opts.Seed, s.opts.Faults.Has(Network))
+	if err != nil {
+		return r, r.close, err
+	}
+	r.nextID()
+	if err = r.run(); err == nil {
+		r.putEntry("ready")
+	}
+	return r, func() { closeProxy(); r.close() }, err
+}
+
+func (r *replica) nextID() {
+	r.starts++
+	r.cfg.ID = fmt.Sprint(r.name, "-", r.starts)
+}
+
+// run starts the process with the current configuration.
+func (r *replica) run() error {
+	r.sequence = 0
+	cfg, err := json.Marshal(r.cfg)
+	if err != nil {
+		return &Error{"encode configuration", err}
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return &Error{"find program", err}
+	}
+	return r.start(program, replicaArgument, string(cfg))
+}
+
+// putEntry writes the replica's entry to the store.
+func (r *replica) putEntry(state string) {
+	r.sequence++
+	entry := map[string]any{"service": r.service, "address": r.address, "zone": "zone-a", "version": r.cfg.Version, "slots": 48, "state": state,
+		"coldRemainingMs": 0, "sequence": r.sequence, "born": time.Now().UnixMilli()}
+	if r.cfg.Stage != "" {
+		entry["stage"] = r.cfg.Stage
+	}
+	r.store.PutReplica(r.cfg.ID, entry)
+}
+
+func (r *replica) kill() { r.end(syscall.SIGKILL) }
