--- a/soak/checker.go
+++ b/soak/checker.go
@@ -113,6 +113,3 @@
 	}
 	return ""
 }
-
-// isComplete reports whether all events have come.
-func (c *checker) isComplete() bool { return c.last == c.events && len(c.pending) == 0 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	defer output.Close()
+	defer func() { _ = output.Close() }()
 	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = output, output
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -93,15 +93,20 @@
 	}
 	<-done
 	<-done
-	down.Close()
-	up.Close()
+	closeAll(down, up)
+}
+
+func closeAll(conns ...*net.TCPConn) {
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
 }
 
 func reset(conns ...*net.TCPConn) {
 	for _, conn := range conns {
 		_ = conn.SetLinger(0)
-		conn.Close()
 	}
+	closeAll(conns...)
 }
 
 // direction copies bytes from one half of a proxied connection to the other.
@@ -185,8 +190,7 @@
 		reset(d.from, d.to)
 		return false
 	case linkEnd:
-		d.to.Close()
-		d.from.Close()
+		closeAll(d.to, d.from)
 		return false
 	case linkCut:
 		_, _ = io.Copy(io.Discard, d.from)
--- a/soak/report.go
+++ b/soak/report.go
@@ -117,6 +117,6 @@
 				fmt.Fprintf(w, "  %s: %s\n", filepath.Base(path), lines.Text())
 			}
 		}
-		file.Close()
+		_ = file.Close()
 	}
 }
--- a/soak/run/main.go
+++ b/soak/run/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/cassiabridge/cassiabridge/soak"
@@ -28,7 +29,7 @@
 	flag.IntVar(&opts.VMs, "vms", 3, "number of VMs")
 	flag.IntVar(&opts.Replicas, "replicas", 8, "number of replicas; of each four, one prefills, two decode and one is of a plain service")
 	flag.IntVar(&opts.Callers, "callers", 16, "number of concurrent callers")
-	flag.StringVar(&opts.Binary, "binary", "", "path of the cassiabridge program to test; empty: it is built")
+	binaries := flag.String("binary", "", "paths of the cassiabridge programs that VMs run in turn, separated by commas; empty: the program is built")
 	faults := flag.String("faults", soak.AllKinds.String(), "kinds of faults, separated by commas")
 	flag.Parse()
 	var err error
@@ -38,12 +39,13 @@
 	if opts.Dir, err = os.MkdirTemp("", "soak"); err != nil {
 		return err
 	}
-	if opts.Binary == "" {
-		opts.Binary = filepath.Join(opts.Dir, "cassiabridge")
-		if err := soak.Build(opts.Binary); err != nil {
+	if *binaries == "" {
+		*binaries = filepath.Join(opts.Dir, "cassiabridge")
+		if err := soak.Build(*binaries); err != nil {
 			return err
 		}
 	}
+	opts.Binaries = strings.Split(*binaries, ",")
 	opts.Out = os.Stdout
 	report, err := soak.Run(context.Background(), opts)
 	if err != nil {
--- a/soak/site.go
+++ b/soak/site.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 
@@ -133,7 +132,7 @@
 		return nil, err
 	}
 	name := vmName(n)
-	v := &vm{process: process{name: name, dir: opts.Dir}, binary: opts.Binary, settings: filepath.Join(opts.Dir, name+".json"), callers: addrs[0], readiness: addrs[1]}
+	v := &vm{process: process{name: name, dir: opts.Dir}, binary: opts.Binaries[n%len(opts.Binaries)], settings: filepath.Join(opts.Dir, name+".json"), callers: addrs[0], readiness: addrs[1]}
 	data, err := json.Marshal(map[string]any{
 		"VM": name, "AvailabilityZone": "zone-a",
 		"Listen":  map[string]any{"Callers": addrs[0], "Readiness": addrs[1], "Metrics": addrs[2], "Peers": addrs[3]},
@@ -182,7 +181,6 @@
 	address, service string
 	starts, sequence int
 	store            *standin.Store
-	mu               sync.Mutex
 }
 
 // rolesOfReplicas holds the stages of replicas by number; an empty one is of the plain service.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,8 +28,8 @@
 	VMs, Replicas, Callers int
 	// Faults holds the kinds of faults that are injected.
 	Faults Kinds
-	// Binary is the path of the program under test.
-	Binary string
+	// Binaries holds the paths of the programs under test: the first VM runs the first one, and so on, and from the start again.
+	Binaries []string
 	// Dir is a folder for settings and logs.
 	Dir string
 	// Out receives the plan and the traces of a run with breaches.
