--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,8 +34,10 @@
 	Empty Kind = "empty"
 	// Repeats has replicas send an event twice in one answer.
 	Repeats Kind = "repeats"
-	// Ends has replicas end an answer inside an event in an orderly way.
+	// Ends has replicas end an answer inside an event in an orderly way, but for answers whose length was announced.
 	Ends Kind = "ends"
+	// Lengths has replicas announce a length that ends inside an event.
+	Lengths Kind = "lengths"
 	// Unframed has some answers end with their connection. One that is cut between two events cannot be told from a whole one.
 	Unframed Kind = "unframed"
 )
@@ -44,7 +46,7 @@
 type Kinds []Kind
 
 // AllKinds holds all kinds of faults.
-var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, StoreFaults, Joints, Empty, Repeats, Ends, Unframed}
+var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Unframed}
 
 // Has reports whether k is in the set.
 func (k Kinds) Has(kind Kind) bool { return slices.Contains(k, kind) }
--- a/soak/process.go
+++ b/soak/process.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"sync"
@@ -11,45 +9,8 @@
 	"time"
 )
 
-const (
-	// firstPort and lastPort bound the ports of processes. They lie below those that the kernel gives to outgoing connections.
-	firstPort, lastPort = 12_000, 32_000
-	// maxPortTries is how many ports are tried before there is none.
-	maxPortTries = 100
-	// stopTimeout is the time after SIGTERM at which a process is killed.
-	stopTimeout = vmGrace + time.Second
-)
-
-// freeAddress returns a loopback address at which nothing listens.
-func freeAddress() (string, error) {
-	var err error
-	for range maxPortTries {
-		addr := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", addr); err == nil {
-			listener.Close()
-			return addr, nil
-		}
-	}
-	return "", &Error{"find a free port", err}
-}
-
-// freeAddresses returns n different loopback addresses at which nothing listens.
-func freeAddresses(n int) ([]string, error) {
-	taken := map[string]bool{}
-	var addrs []string
-	for len(addrs) < n {
-		addr, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		if !taken[addr] {
-			taken[addr] = true
-			addrs = append(addrs, addr)
-		}
-	}
-	return addrs, nil
-}
+// stopTimeout is the time after SIGTERM at which a process is killed.
+const stopTimeout = vmGrace + time.Second
 
 // process is a process that is started again and again. It is safe for concurrent use.
 type process struct {
--- a/soak/site.go
+++ b/soak/site.go
@@ -49,6 +49,7 @@
 type site struct {
 	opts     Options
 	store    *standin.Store
+	ports    *ports
 	vms      []*vm
 	replicas []*replica
 }
@@ -69,6 +70,11 @@
 			c()
 		}
 	}
+	blockOfPorts, release, err := claimPorts()
+	if err != nil {
+		return s, stop, err
+	}
+	s.ports, closers = blockOfPorts, append(closers, release)
 	storeAddr, closeStore, err := serveStore(s.store)
 	if err != nil {
 		return s, stop, err
@@ -84,7 +90,7 @@
 		s.replicas = append(s.replicas, r)
 	}
 	for n := range opts.VMs {
-		v, err := newVM(opts, n, storeAddr)
+		v, err := newVM(s, n, storeAddr)
 		if err == nil {
 			closers = append(closers, v.close)
 			err = v.run()
@@ -126,8 +132,9 @@
 }
 
 // newVM writes the settings of a VM.
-func newVM(opts Options, n int, storeAddr string) (*vm, error) {
-	addrs, err := freeAddresses(4)
+func newVM(s *site, n int, storeAddr string) (*vm, error) {
+	opts := s.opts
+	addrs, err := s.ports.addresses(4)
 	if err != nil {
 		return nil, err
 	}
@@ -192,7 +199,7 @@
 // startReplica starts the n-th replica and its proxy. The returned function ends them; it is not nil in case of an error.
 func startReplica(s *site, n int, unframed bool) (*replica, func(), error) {
 	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: engineService, store: s.store}
-	addrs, err := freeAddresses(2)
+	addrs, err := s.ports.addresses(2)
 	if err != nil {
 		return r, r.close, err
 	}
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -91,6 +91,8 @@
 	isEmpty
 	// endsInside ends in an orderly way inside an event.
 	endsInside
+	// endsInsideByLength does so and announces the length.
+	endsInsideByLength
 	// repeatsLater sends an event twice.
 	repeatsLater
 )
@@ -110,6 +112,9 @@
 	if faults.Has(Ends) {
 		odd = append(odd, endsInside)
 	}
+	if faults.Has(Lengths) {
+		odd = append(odd, endsInsideByLength)
+	}
 	return odd
 }
 
@@ -163,7 +168,7 @@
 	switch {
 	case odd == isEmpty && last > 0:
 		a.events = nil
-	case odd == endsInside:
+	case odd == endsInside && a.framing != byLength, odd == endsInsideByLength && a.framing == byLength:
 		a.events = a.events[:n+1]
 		a.events[n] = a.events[n][:1+a.rng.IntN(len("id: 1"))]
 	case odd == repeatsLater:
