--- a/soak/site.go
+++ b/soak/site.go
@@ -187,7 +187,9 @@
 	// address is that of the proxy, starts the number of starts, and sequence that of the entry.
 	address, service string
 	starts, sequence int
-	store            *standin.Store
+	// born is the time of the last start.
+	born  time.Time
+	store *standin.Store
 }
 
 // rolesOfReplicas holds the stages of replicas by number; an empty one is of the plain service.
@@ -230,7 +232,7 @@
 
 // run starts the process with the current configuration.
 func (r *replica) run() error {
-	r.sequence = 0
+	r.sequence, r.born = 0, time.Now()
 	cfg, err := json.Marshal(r.cfg)
 	if err != nil {
 		return &Error{"encode configuration", err}
@@ -246,7 +248,7 @@
 func (r *replica) putEntry(state string) {
 	r.sequence++
 	entry := map[string]any{"service": r.service, "address": r.address, "zone": "zone-a", "version": r.cfg.Version, "slots": 48, "state": state,
-		"coldRemainingMs": 0, "sequence": r.sequence, "born": time.Now().UnixMilli()}
+		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.born.UnixMilli()}
 	if r.cfg.Stage != "" {
 		entry["stage"] = r.cfg.Stage
 	}
