--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -28,6 +28,8 @@
 const (
 	// faultyLinkShare is one in how many connections have a fault in a direction.
 	faultyLinkShare = 2
+	// refusedShare is one in how many connections are reset at once. A VM then asks its peers for the way to the replica.
+	refusedShare = 6
 	// maxFaultOffset is the highest number of bytes before a fault.
 	maxFaultOffset = 24_000
 	// maxSegment is the size of the largest part into which a split write is divided, in bytes.
@@ -74,6 +76,10 @@
 
 // forward copies both directions of the n-th connection.
 func (p *proxy) forward(down *net.TCPConn, n int64) {
+	if p.harmful && newRand(p.seed, fmt.Sprint(p.name, n)).IntN(refusedShare) == 0 {
+		reset(down)
+		return
+	}
 	raw, err := net.Dial("tcp", p.target)
 	if err != nil {
 		reset(down)
