--- a/soak/checker.go
+++ b/soak/checker.go
@@ -44,8 +44,9 @@
 }
 
 var (
-	eventPattern = regexp.MustCompile(`^(?:: comment\r?\n)?id: (\d+)\r?\ndata: (\S+) (\S+) (\d+) x+\r?\n\r?\n$`)
-	eventEnds    = [][]byte{[]byte("\r\n\r\n"), []byte("\n\n")}
+	eventPattern   = regexp.MustCompile(`^(?:: comment\r?\n)?id: (\d+)\r?\ndata: (\S+) (\S+) (\d+) x+\r?\n\r?\n$`)
+	commentPattern = regexp.MustCompile(`^: comment\r?\n`)
+	eventEnds      = [][]byte{[]byte("\r\n\r\n"), []byte("\n\n")}
 )
 
 // beginAnswer begins the next answer. A part of an event at the end of the last one is dropped, as callers do.
@@ -103,10 +104,10 @@
 	return ""
 }
 
-// end judges the end of an answer that looks complete.
+// end judges the end of an answer that looks complete. A whole line of comment is no part of an event.
 func (c *checker) end() BreachKind {
 	switch {
-	case len(c.pending) > 0:
+	case len(commentPattern.ReplaceAll(c.pending, nil)) > 0:
 		return EndsInside
 	case c.last < c.events:
 		return EndsEarly
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -50,6 +50,8 @@
 		{"another stream", []string{string(event{"c2-1", "v1", 1}.encode())}, OtherRequest},
 		{"an event in an event", []string{"id: 1\ndata: c1-1 v1 " + testEvents(1)}, Damaged},
 		{"ends early", []string{testEvents(1, 2)}, EndsEarly},
+		{"ends after a comment", []string{testEvents(1, 2) + ": comment\n"}, EndsEarly},
+		{"ends inside a comment", []string{testEvents(1, 2) + ": comment"}, EndsInside},
 		{"ends inside an event", []string{testEvents(1, 2) + "id: 3"}, EndsInside},
 	}
 	for _, scenario := range scenarios {
