--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,6 +38,8 @@
 	Ends Kind = "ends"
 	// Lengths has replicas announce a length that ends inside an event.
 	Lengths Kind = "lengths"
+	// Copies has replicas send an answer again on its connection, at once or before the next answer.
+	Copies Kind = "copies"
 	// Unframed has some answers end with their connection. One that is cut between two events cannot be told from a whole one.
 	Unframed Kind = "unframed"
 )
@@ -46,7 +48,7 @@
 type Kinds []Kind
 
 // AllKinds holds all kinds of faults.
-var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Unframed}
+var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Unframed}
 
 // Has reports whether k is in the set.
 func (k Kinds) Has(kind Kind) bool { return slices.Contains(k, kind) }
--- a/soak/process.go
+++ b/soak/process.go
@@ -18,7 +18,8 @@
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	ended     chan struct{}
-	closed    bool
+	// stopping is whether the process was told to end, and closed whether it is not started again.
+	stopping, closed bool
 }
 
 // start starts the process. Its output is added to its log, and it is killed if this process ends.
@@ -41,12 +42,13 @@
 	}
 	ended := make(chan struct{})
 	go func() {
-		if err := cmd.Wait(); err != nil && cmd.ProcessState.Sys().(syscall.WaitStatus).Exited() {
+		err := cmd.Wait()
+		if !p.isStopping() {
 			fmt.Fprintln(os.Stderr, p.name, "ended by itself:", err)
 		}
 		close(ended)
 	}()
-	p.cmd, p.ended = cmd, ended
+	p.cmd, p.ended, p.stopping = cmd, ended, false
 	return nil
 }
 
@@ -59,12 +61,19 @@
 	}
 }
 
+func (p *process) isStopping() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopping
+}
+
 // end sends a signal, and SIGKILL if the process has not ended after a timeout.
 func (p *process) end(s syscall.Signal) {
-	p.signal(s)
 	p.mu.Lock()
+	p.stopping = true
 	ended := p.ended
 	p.mu.Unlock()
+	p.signal(s)
 	if ended == nil {
 		return
 	}
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,8 +22,10 @@
 	replicaArgument = "replica"
 	// listenTimeout is how long a replica tries to listen at the address of the one before it.
 	listenTimeout = 3 * time.Second
-	healthPath    = "/health"
-	handlePath    = "/api/kv-handle/"
+	// copyShare is one in how many answers comes twice where that happens.
+	copyShare  = 6
+	healthPath = "/health"
+	handlePath = "/api/kv-handle/"
 )
 
 // replicaConfig configures the process of a replica.
@@ -31,8 +34,8 @@
 	Seed                        uint64
 	// Odd holds how some answers disregard the protocol.
 	Odd []oddity
-	// Unframed has some answers end with their connection.
-	Unframed bool
+	// Copies has some answers come twice. Unframed has some end with their connection.
+	Copies, Unframed bool
 }
 
 // ServeReplica serves as a replica and does not return if the arguments of the process ask for it. Each program that calls Run calls it
@@ -71,25 +74,39 @@
 func (c replicaConfig) serveConn(conn net.Conn, rng *rand.Rand) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	var last bytes.Buffer
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		body, err := io.ReadAll(r.Body)
-		if err != nil || !c.answer(conn, r, string(body), rng) {
+		if err != nil || !c.copyAnswer(conn, last.Bytes(), rng) {
 			return
 		}
+		last.Reset()
+		if !c.answer(io.MultiWriter(conn, &last), r, string(body), rng) || !c.copyAnswer(conn, last.Bytes(), rng) {
+			return
+		}
+	}
+}
+
+// copyAnswer sends an answer again, if it is to come twice, and reports whether the connection can be used again.
+func (c replicaConfig) copyAnswer(conn net.Conn, answer []byte, rng *rand.Rand) bool {
+	if !c.Copies || rng.IntN(copyShare) > 0 {
+		return true
 	}
+	_, err := conn.Write(answer)
+	return err == nil
 }
 
 // answer answers a request and reports whether the connection can be used again.
-func (c replicaConfig) answer(conn net.Conn, r *http.Request, body string, rng *rand.Rand) bool {
+func (c replicaConfig) answer(w io.Writer, r *http.Request, body string, rng *rand.Rand) bool {
 	head := func(status int, fields string) string {
 		return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s", status, http.StatusText(status), standin.HeaderAttempt, r.Header.Get(standin.HeaderAttempt), fields)
 	}
 	send := func(status int, fields, body string) bool {
-		_, err := io.WriteString(conn, head(status, fields)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+		_, err := io.WriteString(w, head(status, fields)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
 		return err == nil
 	}
 	if target := r.Header.Get(standin.HeaderReplica); target != "" && target != c.ID {
@@ -116,8 +133,8 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	answer := newStreamAnswer(c, wanted, last, rng)
 	fields := standin.HeaderSignature + ": by " + c.ID + "\r\nContent-Type: text/event-stream\r\n" + answer.framingFields()
-	if _, err := io.WriteString(conn, head(http.StatusOK, fields)+"\r\n"); err != nil {
+	if _, err := io.WriteString(w, head(http.StatusOK, fields)+"\r\n"); err != nil {
 		return false
 	}
-	return answer.write(conn) == nil && answer.framing != untilClose
+	return answer.write(w) == nil && answer.framing != untilClose
 }
--- a/soak/run/main.go
+++ b/soak/run/main.go
@@ -31,6 +31,7 @@
 	flag.IntVar(&opts.Callers, "callers", 16, "number of concurrent callers")
 	binaries := flag.String("binary", "", "paths of the cassiabridge programs that VMs run in turn, separated by commas; empty: the program is built")
 	faults := flag.String("faults", soak.AllKinds.String(), "kinds of faults, separated by commas")
+	keep := flag.Bool("keep", false, "keep the logs of a run without breaches too")
 	flag.Parse()
 	var err error
 	if opts.Faults, err = soak.ParseKinds(*faults); err != nil {
@@ -57,5 +58,9 @@
 	if len(report.Breaches) > 0 {
 		return fmt.Errorf("seed %d: %d streams broke a rule; logs are in %s", opts.Seed, len(report.Breaches), opts.Dir)
 	}
+	if *keep {
+		fmt.Println("logs are in", opts.Dir)
+		return nil
+	}
 	return os.RemoveAll(opts.Dir)
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -23,7 +23,7 @@
 	// vmGrace is the time that a VM has after SIGTERM.
 	vmGrace = 3 * time.Second
 	// readyTimeout is the time within which all VMs of a new site must be ready, and readyPoll the time between two questions.
-	readyTimeout = 20 * time.Second
+	readyTimeout = time.Minute
 	readyPoll    = 20 * time.Millisecond
 	// retrySlack lets all retries pass.
 	retrySlack = 100_000
@@ -207,7 +207,8 @@
 	}
 	r.address = addrs[1]
 	roles := len(rolesOfReplicas)
-	r.cfg = replicaConfig{Stage: rolesOfReplicas[n%roles], Version: softwareVersions[0], Address: addrs[0], Seed: s.opts.Seed, Odd: odditiesOf(s.opts.Faults), Unframed: unframed}
+	r.cfg = replicaConfig{Stage: rolesOfReplicas[n%roles], Version: softwareVersions[0], Address: addrs[0], Seed: s.opts.Seed,
+		Odd: odditiesOf(s.opts.Faults), Copies: s.opts.Faults.Has(Copies), Unframed: unframed}
 	if r.cfg.Stage == "" {
 		r.service = plainService
 	}
