--- a/soak/stream.go
+++ b/soak/stream.go
@@ -139,14 +139,15 @@
 	if len(c.Odd) > 0 && rng.IntN(oddShare) == 0 {
 		odd = c.Odd[rng.IntN(len(c.Odd))]
 	}
-	for n := firstNumber(odd, last); n <= wanted.Events; n++ {
+	for n := firstNumber(odd, last, wanted.Events); n <= wanted.Events; n++ {
 		a.events = append(a.events, event{wanted.Name, c.Version, n}.encode())
 	}
 	a.applyOddity(odd, last)
 	return a
 }
 
-func firstNumber(odd oddity, last int) int {
+// firstNumber returns the number of the first event of an answer. One that leaves an event out has another one after that.
+func firstNumber(odd oddity, last, events int) int {
 	switch {
 	case last == 0:
 		return 1
@@ -154,7 +155,7 @@
 		return 1
 	case odd == repeatsLast:
 		return last
-	case odd == leavesOut:
+	case odd == leavesOut && last+2 <= events:
 		return last + 2
 	}
 	return last + 1
