placement, gateway: a replica that has ended is not taken for its old software version when it answers again

Cause: the version of who answers rests on an entry that another process has written; nothing compared the two. A VM that meets refused connections knows that the listed process has ended. Until the entry is renewed (born, version or address), or for 10 s, no stream goes on there under the listed version, and one that began there after the end is not resumed. A VM that has met no refusal cannot tell, since no answer names the version.

--- a/gateway/ended_replicas.go
+++ b/gateway/ended_replicas.go
@@ -67,6 +67,9 @@
 	ended := refused.(bool)
 	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.Bool("ReplicaEnded", ended),
 		zap.Bool("Lasted", lasted), zap.Strings("Parts", parts))
+	if ended {
+		s.control.markEnded(replica)
+	}
 	if ended && !lasted {
 		s.control.recordEnd(parts, replica)
 	}
--- a/gateway/resumable_stream.go
+++ b/gateway/resumable_stream.go
@@ -59,7 +59,7 @@
 			s.endBrokenRun(r, from, r.answer.lasted)
 		}
 	}
-	if !g.events.CanResume() {
+	if !g.events.CanResume() || s.control.isVersionDoubted(from.ID, r.answer.startedAt) {
 		return s.forwardError(ctx, r, err), attempt.End
 	}
 	return s.forwardError(ctx, r, err), r.state.Next(attempt.Broken)
--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -68,12 +68,16 @@
 	if r.resumesStream() && r.info.Resumes != "" {
 		attempts = append(attempts, r.info.Resumes)
 	}
-	s.control.recordStreams(attempts, originOf(from))
+	s.control.recordStreams(attempts, from)
 }
 
-// recordStreams records that attempts begin, or go on with, streams at an origin.
-func (c *Controller) recordStreams(attempts []string, origin resumption.Origin) {
+// recordStreams records that attempts begin, or go on with, streams at a replica.
+func (c *Controller) recordStreams(attempts []string, from placement.Replica) {
 	c.post(func() {
+		origin := originOf(from)
+		if c.scheduler.VersionDoubted(c.now(), from.ID, c.now()) {
+			origin.Version = doubtedVersion
+		}
 		for _, attempt := range attempts {
 			c.streams.Begin(c.now(), attempt, origin)
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -273,6 +273,7 @@
 	s.log.Info("upstream-failed", zap.String("Request", r.info.Attempt), zap.String("Replica", to.ID), zap.String("Address", to.Address),
 		zap.Stringer("Stage", hop.Stage), zap.Stringer("Kind", outcome), zap.Duration("After", s.control.now().Sub(sentAt)), zap.Error(err))
 	s.metrics.UpstreamFailures.WithLabelValues(r.pool.Name, outcome.String()).Inc()
+	s.noteRefusal(to, err)
 	if ctx.Err() == nil {
 		s.control.recordFailure(to, outcome == attempt.Unsent)
 		if outcome == attempt.InDoubt {
--- a/gateway/stream_records_test.go
+++ b/gateway/stream_records_test.go
@@ -80,12 +80,12 @@
 		}, 5*time.Second, 10*time.Millisecond)
 	}
 	first := records.runVM(t, "vm", "v1", "v2")
-	first.recordStreams([]string{"a"}, resumption.Origin{Pool: "p", Version: "v1"})
+	first.recordStreams([]string{"a"}, placement.Replica{Pool: "p", SoftwareVersion: "v1"})
 	require.Eventually(t, func() bool { return records.value("vm") != "" }, 5*time.Second, 10*time.Millisecond)
 	second := records.runVM(t, "vm", "v1", "v2")
 	knows(second, "a", "v1")
 	before := records.value("vm")
-	second.recordStreams([]string{"b"}, resumption.Origin{Pool: "p", Version: "v2"})
+	second.recordStreams([]string{"b"}, placement.Replica{Pool: "p", SoftwareVersion: "v2"})
 	require.Eventually(t, func() bool { return records.value("vm") != before }, 5*time.Second, 10*time.Millisecond)
 	for _, name := range []string{"vm", "other"} {
 		third := records.runVM(t, name, "v1", "v2")
@@ -98,7 +98,7 @@
 func TestStreamsOfASingleVersionAreWritten(t *testing.T) {
 	records := &streamRecords{values: map[string]string{}}
 	c := records.runVM(t, "vm", "v1")
-	c.recordStreams([]string{"a"}, resumption.Origin{Pool: "p", Version: "v1"})
+	c.recordStreams([]string{"a"}, placement.Replica{Pool: "p", SoftwareVersion: "v1"})
 	time.Sleep(4 * minStreamWriteInterval)
 	assert.Empty(t, records.value("vm"))
 	c.ApplyReplicas(ReplicaUpdate{Next: 2, Listed: []placement.Replica{{ID: "r-2", Pool: "p", Address: "127.0.0.1:2", SoftwareVersion: "v2"}}})
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -11,6 +11,8 @@
 	initialPrefillRate = 45_000.0
 	// initialLatency is the assumed latency of a service without samples, in seconds.
 	initialLatency = 0.02
+	// versionDoubtPeriod is how long the software version of a replica that has ended is in doubt, if its entry is not renewed.
+	versionDoubtPeriod = 10 * time.Second
 	// initialBackoff and maxBackoff bound how long a failing replica is skipped.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 4 * time.Second
@@ -102,6 +104,8 @@
 	// replaced reports that another replica answers at the address. It stays set until this replica is listed with
 	// another address or is renewed.
 	replaced bool
+	// endedAt is when the process of the replica was first found to have ended since its entry was last renewed, or zero.
+	endedAt time.Time
 	// saidLeaving is whether the replica has said in an answer that it is leaving. It stays set in the same way.
 	saidLeaving bool
 	// evacuated is whether the availability zone of the replica is evacuated.
@@ -128,6 +132,12 @@
 	return !r.Leaving && !r.Doubtful && !now.Before(r.backoffUntil) && len(r.unreachableFor) < minUnreachableReports
 }
 
+// versionDoubted reports whether another process than the listed one may answer at the address, with another software version: the listed
+// one has ended, and the entry has not been renewed.
+func (r *replica) versionDoubted(now time.Time) bool {
+	return !r.endedAt.IsZero() && now.Sub(r.endedAt) < versionDoubtPeriod
+}
+
 // eligible reports whether the replica may receive new work at all.
 func (r *replica) eligible() bool { return !r.Leaving && !r.saidLeaving && !r.replaced && !r.evacuated }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -84,6 +84,9 @@
 		s.replicas[listed.ID] = newReplica(listed)
 		s.recordAddress(s.replicas[listed.ID])
 	} else {
+		if old.SoftwareVersion != listed.SoftwareVersion {
+			old.endedAt = time.Time{}
+		}
 		old.Replica = listed
 	}
 	s.replicas[listed.ID].evacuated = s.evacuated[listed.Zone]
@@ -254,6 +257,20 @@
 	}
 }
 
+// MarkEnded records that the process of a replica has ended: connections to it are refused. Until its entry is renewed, which software the
+// process has that answers there later is not known.
+func (s *Scheduler) MarkEnded(now time.Time, id string) {
+	if r := s.replicas[id]; r != nil && !r.versionDoubted(now) {
+		r.endedAt = now
+	}
+}
+
+// VersionDoubted reports whether the software version of a replica was in doubt already at a time.
+func (s *Scheduler) VersionDoubted(now time.Time, id string, at time.Time) bool {
+	r := s.replicas[id]
+	return r != nil && r.versionDoubted(now) && r.endedAt.Before(at)
+}
+
 // MarkLeaving records that a replica has said in an answer that it is leaving, and reports whether that was not known.
 func (s *Scheduler) MarkLeaving(id string) bool {
 	r := s.replicas[id]
@@ -268,7 +285,7 @@
 // counts.
 func (s *Scheduler) Renew(id string) {
 	if r := s.replicas[id]; r != nil {
-		r.saidLeaving, r.replaced = false, false
+		r.saidLeaving, r.replaced, r.endedAt = false, false, time.Time{}
 	}
 }
 
@@ -317,7 +334,7 @@
 func (s *Scheduler) candidates(now time.Time, c criteria) []*replica {
 	var preferred, fallback []*replica
 	for _, r := range s.pool(c.pool) {
-		if !s.matches(r, c) {
+		if !s.matches(r, c) || c.versions.Limited && r.versionDoubted(now) {
 			continue
 		}
 		if c.stage == StageNone && !s.allows(now, r.ID) {
