--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -24,6 +25,8 @@
 	output       *os.File
 	// stdout replaces output if it is not nil.
 	stdout *os.File
+	// build is the path of the binary that the process runs, or empty for that of TestMain.
+	build string
 }
 
 // newProcess writes the settings file of a process without starting it.
@@ -47,7 +50,7 @@
 	output, err := os.CreateTemp(t.TempDir(), p.name)
 	require.NoError(t, err)
 	p.output = output
-	p.cmd = exec.Command(binary, "serve", p.settingsPath)
+	p.cmd = exec.Command(cmp.Or(p.build, binary), "serve", p.settingsPath)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	if p.stdout != nil {
 		p.cmd.Stdout, p.cmd.Stderr = p.stdout, p.stdout
