gateway: a VM that has stopped ends

The tasks that write streams and the copy of the declarations asked the control goroutine, which may have ended before them, and waited for ever: the process logged that it had stopped and lived on until it was killed. They now give up with their context.

--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -61,9 +61,9 @@
 }
 
 // collectCopyState returns the state to copy, without doubtful replicas, if this VM is the leader. The leader is the VM with the lowest name
-// among those that are neither silent nor leaving.
-func (c *Controller) collectCopyState() copyState {
-	return ask(c, func() copyState {
+// among those that are neither silent nor leaving. It returns false if ctx is done before.
+func (c *Controller) collectCopyState(ctx context.Context) (copyState, bool) {
+	return askUntilDone(ctx, c, func() copyState {
 		k := copyState{leader: true}
 		for name, p := range c.peers {
 			if name < c.self.VM && !p.silent && !p.leaving {
@@ -100,7 +100,10 @@
 			clear(written)
 			writtenIn = era
 		}
-		k := c.collectCopyState()
+		k, ok := c.collectCopyState(ctx)
+		if !ok {
+			return
+		}
 		if !k.leader || k.table == nil || len(k.replicas) == 0 {
 			clear(written)
 			continue
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -44,13 +44,31 @@
 		case <-cleanTimer(written):
 		}
 		written = c.writeStreams(ctx, store, written)
+		interval, _ := askUntilDone(ctx, c, c.streamWriteInterval)
 		select {
 		case <-ctx.Done():
-		case <-time.After(ask(c, c.streamWriteInterval)):
+		case <-time.After(interval):
 		}
 	}
 }
 
+// askUntilDone is ask for tasks that end together with the control goroutine: it waits until ctx is done at most, and reports whether f
+// has run.
+func askUntilDone[T any](ctx context.Context, c *Controller, f func() T) (result T, ok bool) {
+	answer := make(chan T, 1)
+	select {
+	case <-ctx.Done():
+		return result, false
+	case c.events <- event{func() { answer <- f() }, c.now()}:
+	}
+	select {
+	case <-ctx.Done():
+		return result, false
+	case result = <-answer:
+		return result, true
+	}
+}
+
 // cleanTimer returns a channel that fires when a record is due to be cleaned, or nil if there is none.
 func cleanTimer(written string) <-chan time.Time {
 	if written == "" {
@@ -98,7 +116,10 @@
 
 // writeStreams writes this VM's streams if they differ from what was written, and returns what is written then.
 func (c *Controller) writeStreams(ctx context.Context, store StreamStore, written string) string {
-	report := ask(c, func() resumption.Report { return c.streams.Own(c.now(), c.poolsOfSeveralVersions(), maxStreamsWritten) })
+	report, ok := askUntilDone(ctx, c, func() resumption.Report { return c.streams.Own(c.now(), c.poolsOfSeveralVersions(), maxStreamsWritten) })
+	if !ok {
+		return written
+	}
 	value := ""
 	if len(report) > 0 {
 		data, err := json.Marshal(report)
--- a/gateway/stream_records_test.go
+++ b/gateway/stream_records_test.go
@@ -104,3 +104,33 @@
 	c.ApplyReplicas(ReplicaUpdate{Next: 2, Listed: []placement.Replica{{ID: "r-2", Pool: "p", Address: "127.0.0.1:2", SoftwareVersion: "v2"}}})
 	require.Eventually(t, func() bool { return records.value("vm") != "" }, 5*time.Second, 10*time.Millisecond, "what began before there were two versions counts too")
 }
+
+// TestStoppedVMDoesNotEnd guards against a VM that has stopped, and whose tasks that write to the store wait for its control goroutine,
+// which has ended.
+func TestStoppedVMDoesNotEnd(t *testing.T) {
+	t.Parallel()
+	// Each time chance decides between what is due and the end.
+	const stops = 20
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c := NewController(peer.Identity{VM: "vm-1", Incarnation: "x"}, "zone")
+	records := &streamRecords{values: map[string]string{}}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for range stops {
+			c.streamsBegun <- struct{}{}
+			c.MaintainStreams(ctx, records.store())
+			select {
+			case <-c.streamsBegun:
+			default:
+			}
+			c.collectCopyState(ctx)
+		}
+	}()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		assert.Fail(t, "the tasks have not ended")
+	}
+}
