peer: messages say their version and what their sender does for others

A beacon carries the version of its format and the capabilities of its VM, and a summary those of each member: whether it passes on the list and the declarations that it reads, and whether it opens connections for others. Builds that do not say have none.

--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -53,6 +53,8 @@
 	CutOff bool
 	// Address is the IP address and port that receive its beacons, or empty if it has run for long enough for all to know it.
 	Address string
+	// Capabilities are those of the VM's beacons.
+	Capabilities Capabilities
 }
 
 // Beacon is the state that a VM periodically sends to all other VMs, or to those of its group, or a summary of several VMs.
@@ -63,6 +65,9 @@
 	// AvailabilityZone is that of the VM.
 	AvailabilityZone string
 	Scope            Scope
+	// Format is the version of the message, MessageFormat or that of another build. Capabilities says what the VM does for others.
+	Format       int
+	Capabilities Capabilities
 	// List is set in a page of the list of replicas, which tells nothing else.
 	List *ListPage
 	// Declarations is set in a page of the declarations, which tells nothing else.
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -23,6 +23,8 @@
 	Version         uint64
 	Zone            string                    `json:",omitempty"`
 	Scope           Scope                     `json:",omitempty"`
+	Format          int                       `json:",omitempty"`
+	Capabilities    Capabilities              `json:",omitempty"`
 	Forwarded       bool                      `json:",omitempty"`
 	List            *listMessage              `json:",omitempty"`
 	Declarations    *declarationsMessage      `json:",omitempty"`
@@ -64,14 +66,16 @@
 	Distance     int    `json:"D,omitempty"`
 	CutOff       bool   `json:"C,omitempty"`
 	Address      string `json:"A,omitempty"`
+
+	Capabilities Capabilities `json:"P,omitempty"`
 }
 
 func newMemberMessage(m Member) memberMessage {
-	return memberMessage{VM: m.VM, Zone: m.AvailabilityZone, Leaving: m.Leaving, UptimeMillis: m.Uptime.Milliseconds(), Distance: m.StoreDistance, CutOff: m.CutOff, Address: m.Address}
+	return memberMessage{VM: m.VM, Zone: m.AvailabilityZone, Leaving: m.Leaving, UptimeMillis: m.Uptime.Milliseconds(), Distance: m.StoreDistance, CutOff: m.CutOff, Address: m.Address, Capabilities: m.Capabilities}
 }
 
 func (m memberMessage) member() Member {
-	return Member{VM: m.VM, AvailabilityZone: m.Zone, Leaving: m.Leaving, Uptime: millis(m.UptimeMillis), StoreDistance: m.Distance, CutOff: m.CutOff, Address: m.Address}
+	return Member{VM: m.VM, AvailabilityZone: m.Zone, Leaving: m.Leaving, Uptime: millis(m.UptimeMillis), StoreDistance: m.Distance, CutOff: m.CutOff, Address: m.Address, Capabilities: m.Capabilities}
 }
 
 // convertAll returns the converted elements, or nil if there are none.
@@ -149,7 +153,7 @@
 func newBeaconMessage(b Beacon) beaconMessage {
 	checked := b.CheckAge.Milliseconds()
 	return beaconMessage{
-		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Zone: b.AvailabilityZone, Scope: b.Scope, Forwarded: b.Forwarded, Members: convertAll(b.Members, newMemberMessage), Reports: b.UnreachableReports, VMCount: b.VMCount, Leaving: b.Leaving, StoreDistance: b.StoreDistance,
+		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Zone: b.AvailabilityZone, Scope: b.Scope, Format: b.Format, Capabilities: b.Capabilities, Forwarded: b.Forwarded, Members: convertAll(b.Members, newMemberMessage), Reports: b.UnreachableReports, VMCount: b.VMCount, Leaving: b.Leaving, StoreDistance: b.StoreDistance,
 		Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas,
 		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, ListEra: b.ListEra, ListNext: b.ListNext, ListDigest: b.ListDigest, Streams: b.Streams, CheckedMillis: &checked,
 		Loads:          mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
@@ -169,7 +173,7 @@
 		checked = *m.CheckedMillis
 	}
 	return Beacon{
-		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving, StoreDistance: m.StoreDistance, CutOff: m.CutOff,
+		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Format: m.Format, Capabilities: m.Capabilities, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving, StoreDistance: m.StoreDistance, CutOff: m.CutOff,
 		QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable,
 		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra, ListNext: m.ListNext, ListDigest: m.ListDigest, Streams: m.Streams, CheckAge: millis(checked),
 		ReplicaLoads:   mapValues(m.Loads, func(load [2]int) placement.Load { return placement.Load{Requests: load[0], Tokens: load[1]} }),
