--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -114,8 +114,9 @@
 	case p.silent && !p.lastBeaconAt.IsZero():
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.lastBeaconAt)))
 	}
-	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.storeDistance != b.StoreDistance || p.cutOff != b.CutOff || p.lastBeaconAt.IsZero() || !c.catchUp.done
-	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving, p.version, p.vmCount, p.storeDistance, p.cutOff = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version, b.VMCount, b.StoreDistance, b.CutOff
+	cutOff := !canRelay(b.CutOff, b.Capabilities)
+	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.storeDistance != b.StoreDistance || p.cutOff != cutOff || p.lastBeaconAt.IsZero() || !c.catchUp.done
+	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving, p.version, p.vmCount, p.storeDistance, p.cutOff = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version, b.VMCount, b.StoreDistance, cutOff
 }
 
 // recordPeerStart records the first beacon of a process.
@@ -129,7 +130,7 @@
 		c.advertiseLevelsUntil = now.Add(levelAdvertisePeriod)
 		c.beacon.dirty = true
 	}
-	c.log.Info("vm-heard", zap.String("Peer", b.VM), zap.String("Incarnation", b.Incarnation), zap.Duration("Uptime", b.Uptime))
+	c.log.Info("vm-heard", zap.String("Peer", b.VM), zap.String("Incarnation", b.Incarnation), zap.Duration("Uptime", b.Uptime), zap.Int("Format", b.Format), zap.Uint("Capabilities", uint(b.Capabilities)))
 }
 
 // adoptLevels adopts the account levels of a peer that started before this VM.
@@ -173,7 +174,7 @@
 
 // newBeacon returns a beacon with the state of this VM.
 func (c *Controller) newBeacon(now time.Time) peer.Beacon {
-	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: c.version(), VMCount: c.vmCount(),
+	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Format: peer.MessageFormat, Capabilities: c.capabilities(), Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: c.version(), VMCount: c.vmCount(),
 		Leaving: c.leaving.Load(), CutOff: c.cutOff, StoreDistance: c.storeDistance(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
 		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
 		ListAge: c.listSchedule.age(now), ListEra: c.listSchedule.changed.era, ListOffset: c.listSchedule.changed.offset, ListNext: c.listNext(), ListDigest: c.replicas.digest.total, Streams: c.reportStreams(now),
--- a/gateway/declaration_requests.go
+++ b/gateway/declaration_requests.go
@@ -31,12 +31,12 @@
 // lately reports whether the teller has told of them lately.
 func (t teller) lately(now time.Time) bool { return t.vm != "" && now.Sub(t.at) <= silenceTimeout }
 
-// recordTeller records who tells of newer declarations. A mate tells of its own; the sender of a summary may lack what its group knows.
+// recordTeller records who tells of newer declarations, if it answers requests for them. A mate tells of its own; the sender of a summary may lack what its group knows.
 func (c *Controller) recordTeller(now time.Time, b peer.Beacon) {
 	p := c.peers[b.VM]
 	near := c.declarations.requests.near
 	switch {
-	case p == nil || !operatorPositionOf(b).after(c.version(), c.zones.next):
+	case p == nil || c.groups == nil || !c.passesOn(b.VM) || !operatorPositionOf(b).after(c.version(), c.zones.next):
 	case b.Scope == peer.ScopeGroup && near.lately(now) && c.isMate(near.vm):
 	case c.sharesRegion(p):
 		c.declarations.requests.near = teller{b.VM, now}
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -223,7 +223,7 @@
 
 // newMessage returns a message for single VMs, which tells of nothing but the declarations in force.
 func (c *Controller) newMessage(scope peer.Scope) peer.Beacon {
-	return peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Scope: scope, Version: c.version(), EvacuationsEra: c.zones.changed.era, EvacuationsOffset: c.zones.changed.offset,
+	return peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Scope: scope, Format: peer.MessageFormat, Capabilities: c.capabilities(), Version: c.version(), EvacuationsEra: c.zones.changed.era, EvacuationsOffset: c.zones.changed.offset,
 		ListAge: -time.Millisecond, CheckAge: -time.Millisecond}
 }
 
--- a/gateway/list_readers.go
+++ b/gateway/list_readers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cassiabridge/cassiabridge/fleet"
+	"github.com/cassiabridge/cassiabridge/peer"
 )
 
 const (
@@ -46,12 +47,53 @@
 	return cmp.Or(cmp.Compare(distance, otherDistance), cmp.Compare(name, other))
 }
 
+// passingOn are the capabilities of a VM that can read for others.
+const passingOn = peer.PassesListOn | peer.PassesDeclarationsOn
+
+// capabilities returns what this VM does for others.
+func (c *Controller) capabilities() peer.Capabilities {
+	own := peer.RelaysConnections
+	if c.feedsList() {
+		own |= peer.PassesListOn
+	}
+	if c.feedsDeclarations() {
+		own |= peer.PassesDeclarationsOn
+	}
+	return own
+}
+
+// passesOn reports whether the VM called name says that it passes on what it reads. VMs of older builds do not say so: others neither wait
+// for what they read nor rely on them in a tree.
+func (c *Controller) passesOn(name string) bool {
+	if name == c.self.VM {
+		return true
+	}
+	if c.isMate(name) {
+		return c.peers[name].state.Capabilities.Has(passingOn)
+	}
+	g := c.currentGroups()
+	state := g.states[g.layout.GroupOf(name)]
+	return state != nil && state.members[name].Capabilities.Has(passingOn)
+}
+
+// comparePeers is comparePrecedence of two VMs of which one may not pass on what it reads: that one comes last.
+func (c *Controller) comparePeers(name string, distance int, other string, otherDistance int) int {
+	passes, otherPasses := c.passesOn(name), c.passesOn(other)
+	switch {
+	case passes && !otherPasses:
+		return -1
+	case !passes && otherPasses:
+		return 1
+	}
+	return comparePrecedence(name, distance, other, otherDistance)
+}
+
 // stays reports whether a peer is heard and not leaving, so that it can act for others.
 func (p *peerState) stays() bool { return !p.silent && !p.lastBeaconAt.IsZero() && !p.leaving }
 
 // takesPrecedence reports whether the peer with this name comes before this VM when one VM is to act for all.
 func (c *Controller) takesPrecedence(name string, p *peerState) bool {
-	return p.stays() && comparePrecedence(name, p.storeDistance, c.self.VM, c.storeDistance()) < 0
+	return p.stays() && (c.groups == nil || c.passesOn(name)) && comparePrecedence(name, p.storeDistance, c.self.VM, c.storeDistance()) < 0
 }
 
 // firstOf returns the peer among names that comes first when one is to act for all, or an empty string if none is heard.
@@ -62,7 +104,7 @@
 		if p == nil || !p.stays() {
 			continue
 		}
-		if first == "" || comparePrecedence(name, p.storeDistance, first, c.peers[first].storeDistance) < 0 {
+		if first == "" || c.comparePeers(name, p.storeDistance, first, c.peers[first].storeDistance) < 0 {
 			first = name
 		}
 	}
@@ -146,7 +188,7 @@
 		return c.peers[name].storeDistance
 	}
 	names = slices.DeleteFunc(names, func(name string) bool { return name != c.self.VM && !c.peers[name].stays() })
-	slices.SortFunc(names, func(a, b string) int { return comparePrecedence(a, distanceOf(a), b, distanceOf(b)) })
+	slices.SortFunc(names, func(a, b string) int { return c.comparePeers(a, distanceOf(a), b, distanceOf(b)) })
 	return names
 }
 
--- a/gateway/relay_peers.go
+++ b/gateway/relay_peers.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/peer"
 	"github.com/cassiabridge/cassiabridge/relay"
 )
 
@@ -42,6 +43,11 @@
 	return nil
 }
 
+// canRelay reports whether a VM can open connections for others: it has a way of its own, and says that it does so.
+func canRelay(cutOff bool, capabilities peer.Capabilities) bool {
+	return !cutOff && capabilities.Has(peer.RelaysConnections)
+}
+
 // updateRelayPeers determines the peers through which connections to upstreams can be opened.
 func (c *Controller) updateRelayPeers() {
 	var peers []relay.Peer
--- a/gateway/summaries.go
+++ b/gateway/summaries.go
@@ -132,6 +132,7 @@
 	c.beacon.sequence++
 	b := fleet.Summarize(states)
 	b.VM, b.Incarnation, b.AvailabilityZone, b.Scope = c.self.VM, c.self.Incarnation, c.zone, peer.ScopeGroup
+	b.Format, b.Capabilities = own.Format, own.Capabilities
 	b.Sequence, b.Uptime, b.VMCount = c.beacon.sequence, now.Sub(c.startedAt), c.vmCount()
 	b.Suspects, b.BucketLevels = own.Suspects, own.BucketLevels
 	b.Members, b.SpentTokens = members, c.groups.spentInside.Total()
@@ -140,7 +141,7 @@
 
 // newMember returns what a summary tells of a VM whose last beacon was b.
 func (c *Controller) newMember(now time.Time, b peer.Beacon, startedAt time.Time, address string) peer.Member {
-	m := peer.Member{VM: b.VM, AvailabilityZone: b.AvailabilityZone, Leaving: b.Leaving, CutOff: b.CutOff, Uptime: now.Sub(startedAt), StoreDistance: b.StoreDistance}
+	m := peer.Member{VM: b.VM, AvailabilityZone: b.AvailabilityZone, Leaving: b.Leaving, CutOff: b.CutOff, Uptime: now.Sub(startedAt), StoreDistance: b.StoreDistance, Capabilities: b.Capabilities}
 	if m.Uptime < introductionPeriod {
 		m.Address = address
 	}
@@ -210,6 +211,7 @@
 	members := make(map[string]peer.Member, len(b.Members))
 	var receivers []string
 	for _, m := range b.Members {
+		m.Capabilities = knownCapabilities(known.members[m.VM], m)
 		members[m.VM] = m
 		if !m.Leaving && c.peers[m.VM] != nil {
 			receivers = append(receivers, m.VM)
@@ -224,6 +226,15 @@
 	c.applyHints(now, b)
 }
 
+// knownCapabilities returns what a member does for others. VMs of older builds pass summaries on without that, so what a process has said
+// holds until another one runs in its place.
+func knownCapabilities(known, m peer.Member) peer.Capabilities {
+	if m.Capabilities == 0 && known.Uptime <= m.Uptime {
+		return known.Capabilities
+	}
+	return m.Capabilities
+}
+
 // beginSummaryRun sets from where the spent tokens count that a new sender of another group reports.
 func (c *Controller) beginSummaryRun(now time.Time, name string, known *remoteGroup, b peer.Beacon) {
 	if known.run != "" {
@@ -297,7 +308,7 @@
 			p.silent = true
 			continue
 		}
-		p.silent, p.leaving, p.lastBeaconAt, p.version, p.storeDistance, p.cutOff = false, member.Leaving, state.heardAt, state.version, member.StoreDistance, member.CutOff
+		p.silent, p.leaving, p.lastBeaconAt, p.version, p.storeDistance, p.cutOff = false, member.Leaving, state.heardAt, state.version, member.StoreDistance, !canRelay(member.CutOff, member.Capabilities)
 		p.startedTogether = (member.Uptime - state.heardAt.Sub(c.startedAt)).Abs() <= sameStartTolerance
 	}
 	for group, state := range g.states {
