eventstream: an event that came twice does not hide a gap at the next joint

Cause: an event that is refused counted as knowledge of the numbering, and ended the check for gaps of that stream.

--- a/eventstream/sequence.go
+++ b/eventstream/sequence.go
@@ -161,9 +161,9 @@
 		}
 		return ""
 	}
-	s.numbering.Counting = false
 	switch {
 	case !s.numbering.Increasing:
+		s.numbering.Counting = false
 		return ""
 	case number == s.number:
 		return ErrRepeated
--- a/eventstream/sequence_test.go
+++ b/eventstream/sequence_test.go
@@ -160,3 +160,16 @@
 	assert.NoError(t, err)
 	assert.Equal(t, Steps{All: 4, Skipping: 1}, s.Steps(), "joints are no steps")
 }
+
+// TestRepeatedEventHidesAGap guards against a gap at a joint that follows an answer in which an event came twice or out of order.
+func TestRepeatedEventHidesAGap(t *testing.T) {
+	for _, misplaced := range []string{"2", "1"} {
+		s := NewSequence("", Numbering{Increasing: true, Counting: true})
+		s.BeginAnswer()
+		_, err := s.Add([]byte(events("1", "2", misplaced)))
+		assert.Error(t, err)
+		s.BeginAnswer()
+		length, err := s.Add([]byte(events("4")))
+		assertAdded(t, length, err, "", ErrGap)
+	}
+}
