--- a/integration/upgrade_load_test.go
+++ b/integration/upgrade_load_test.go
@@ -203,6 +203,8 @@
 		}
 		assert.LessOrEqual(t, len(runs[a.attempt]), limit, "%s runs at most %d times", call.path, limit)
 		switch {
+		case isStream && a.status == http.StatusBadGateway:
+			// The stream broke off before its first event. That promises nothing.
 		case !served(call):
 			assert.Contains(t, []int{0, http.StatusServiceUnavailable, http.StatusTooManyRequests}, a.status, "%s at VM %d: %s", call.path, call.vm, a.body)
 			if a.status != 0 {
