--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -64,19 +64,6 @@
 	return c
 }
 
-// setResetOnClose sets whether the end of the connection, also by the end of the process, is a reset. Otherwise it is an
-// orderly close.
-func (c *callerConn) setResetOnClose(reset bool) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	if reset {
-		return tcp.SetLinger(0)
-	}
-	return tcp.SetLinger(-1)
-}
-
 // handler returns a handler that passes requests to next, but those whose connection has expired: their callers have been told that they do
 // not run.
 func (a *callerConns) handler(next http.Handler) http.Handler {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -18,6 +18,7 @@
 	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/routing"
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 const (
@@ -131,7 +132,7 @@
 
 // setResetOnClose sets whether the connection of a request ends with a reset.
 func (s *Server) setResetOnClose(r *request, conn *callerConn, reset bool) {
-	if err := conn.setResetOnClose(reset); err != nil {
+	if err := transport.SetResetOnClose(conn.Conn, reset); err != nil {
 		s.log.Info("connection-end-not-set", zap.String("Request", r.info.Attempt), zap.Bool("Reset", reset), zap.Error(err))
 	}
 }
--- a/integration/raw_replica_test.go
+++ b/integration/raw_replica_test.go
@@ -29,8 +29,13 @@
 			go serveRaw(conn, serveConn())
 		}
 	}()
+	s.listReplica(id, service, stage, listener.Addr().String())
+}
+
+// listReplica writes the entry of a replica that runs version v1.
+func (s *site) listReplica(id, service, stage, addr string) {
 	entry := map[string]any{"service": service, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-		"address": listener.Addr().String()}
+		"address": addr}
 	if stage != "" {
 		entry["stage"] = stage
 	}
--- a/integration/site_killed_replica_test.go
+++ b/integration/site_killed_replica_test.go
@@ -40,12 +40,7 @@
 			}()
 		}
 	}()
-	entry := map[string]any{"service": service, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-		"address": listener.Addr().String()}
-	if stage != "" {
-		entry["stage"] = stage
-	}
-	s.store.PutReplica(id, entry)
+	s.listReplica(id, service, stage, listener.Addr().String())
 }
 
 // TestSiteKilledReplicaCompletesAnAnswer guards against an answer without framing that looks complete when its replica is killed between
@@ -74,7 +69,7 @@
 		s := newSite(t, 1)
 		s.store.PutReplica("d-1", nil)
 		const attempt = "goes-on-elsewhere"
-		s.updateEntry("d-0", "state", "draining")
+		s.updateEntry("d-0", "state", "draining") // no other engine can go on
 		s.startMortalReplica("mortal", engineService, "decode", "text/event-stream", eventsOf(attempt, 1, 2))
 		time.Sleep(maxSitePropagationDelay)
 		r := streamRequest("/check/a")
@@ -82,6 +77,6 @@
 		answered := make(chan siteResponse, 1)
 		go func() { answered <- s.send(s.vms[0], r) }()
 		s.eventually(5*time.Second, "the stream has begun", func() bool { return len(s.logLines(s.vms[0], "Event=placed", attempt)) > 0 })
-		assert.False(t, (<-answered).complete, "no other replica takes new streams")
+		assert.False(t, (<-answered).complete)
 	})
 }
--- a/integration/site_restarted_replica_test.go
+++ b/integration/site_restarted_replica_test.go
@@ -51,15 +51,11 @@
 func TestSiteRestartedReplicaGoesOnAtItsOldVersion(t *testing.T) {
 	t.Parallel()
 	s := newSiteWithReplicas(t, 1, append(defaultReplicas()[:2], defaultReplicas()[4:]...))
-	entry := func(addr string) map[string]any {
-		return map[string]any{"service": engineService, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-			"stage": "decode", "address": addr}
-	}
 	restarting, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	addr := restarting.Addr().String()
 	go serveVersion(restarting, "v1", false)
-	s.store.PutReplica("restarting", entry(addr))
+	s.listReplica("restarting", engineService, "decode", addr)
 	time.Sleep(maxSitePropagationDelay)
 	restarting.Close()
 	// Each VM that sends something to it now learns that it has ended.
@@ -73,7 +69,7 @@
 	t.Cleanup(func() { breaking.Close() })
 	var begun atomic.Int64
 	go serveVersion(breaking, "v1", true)
-	s.store.PutReplica("breaking", entry(breaking.Addr().String()))
+	s.listReplica("breaking", engineService, "decode", breaking.Addr().String())
 	time.Sleep(maxSitePropagationDelay)
 	for range requestsForEachEngine {
 		a := s.send(s.vms[0], streamRequest("/check/a"))
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 // writeEndDelay is how long a write to an upstream that has ended its answer may take to return.
@@ -23,7 +25,7 @@
 // returns nil if the upstream's end was regular, or the caller ended its connection first.
 func (t tunnel) run() error {
 	// The kernel ends the connections of a killed process in an orderly way, unless this is set.
-	setResetOnClose(t.caller, true)
+	_ = transport.SetResetOnClose(t.caller, true)
 	toUpstream := newTrackedWriter(t.upstream)
 	upstreamEnded := make(chan struct{})
 	var upstreamErr error
@@ -37,7 +39,7 @@
 			reset(t.caller)
 			return
 		}
-		setResetOnClose(t.caller, false)
+		_ = transport.SetResetOnClose(t.caller, false)
 		if half, ok := t.caller.(interface{ CloseWrite() error }); ok {
 			_ = half.CloseWrite()
 		}
@@ -107,19 +109,8 @@
 	}
 }
 
-// setResetOnClose sets whether the end of a connection, also by the end of the process, is a reset. Otherwise it is an orderly close.
-func setResetOnClose(conn net.Conn, enabled bool) {
-	seconds := -1
-	if enabled {
-		seconds = 0
-	}
-	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = c.SetLinger(seconds)
-	}
-}
-
 // reset closes a connection so that its other end reads a reset.
 func reset(conn net.Conn) {
-	setResetOnClose(conn, true)
+	_ = transport.SetResetOnClose(conn, true)
 	conn.Close()
 }
