--- a/integration/upgrade_build_test.go
+++ b/integration/upgrade_build_test.go
@@ -18,8 +18,11 @@
 // lastLanding is the commit whose build runs when an upgrade begins.
 const lastLanding = "d03715c"
 
-// upgradeFrom names another commit, to try upgrades from older landings by hand.
-var upgradeFrom = flag.String("upgrade.from", lastLanding, "commit from which TestSiteUpgrade upgrades the VMs")
+// upgradeFrom names another commit, and upgradeRegions is whether the settings name regions, to try upgrades from older landings by hand.
+var (
+	upgradeFrom    = flag.String("upgrade.from", lastLanding, "commit from which TestSiteUpgrade upgrades the VMs")
+	upgradeRegions = flag.Bool("upgrade.regions", true, "whether the settings of the VMs name regions")
+)
 
 // buildCommit builds the router of a commit from the history of the repository, and returns the path of the binary. A test that needs a
 // commit which this clone lacks is skipped.
--- a/integration/upgrade_test.go
+++ b/integration/upgrade_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	s := &upgradeSite{versionedSite: newVersionedSite(t, 0, "v1", "v2"), logs: map[string][]string{}}
 	s.graceMillis = int(upgradeGrace.Milliseconds())
-	if *upgradeFrom != "30b7090" {
+	if *upgradeRegions {
 		s.regions = map[string]string{"zone-a": "north", "zone-b": "north", "zone-c": "south"}
 	}
 	s.configure(func(c *standin.Configuration) {
@@ -68,6 +68,9 @@
 	v := s.newVM(name)
 	settings := s.settings(v, name, map[string]any{"Level": "info"})
 	settings["AvailabilityZone"] = zone
+	if s.regions == nil {
+		delete(settings["Gateway"].(map[string]any), "Regions")
+	}
 	v.writeSettings(s.t, settings)
 	return v
 }
