--- a/gateway/mixed_builds_test.go
+++ b/gateway/mixed_builds_test.go
@@ -99,6 +99,36 @@
 	})
 }
 
+// TestOlderReaderPassesNoListOn guards against VMs that wait for the list of replicas of a reader of an older build, which passes nothing on.
+func TestOlderReaderPassesNoListOn(t *testing.T) {
+	t.Parallel()
+	for _, size := range simSizes[:2] {
+		t.Run(fmt.Sprintf("%d VMs", size), func(t *testing.T) {
+			f := newSimFleet(t, size, size)
+			f.run(4 * time.Second)
+			older := f.byName[f.vms[0].firstOfAll()]
+			f.runOlder(older)
+			older.advanceList = nil
+			f.run(3 * time.Second)
+			for n := range 5 {
+				id := f.leave(n).ID
+				took := f.runUntil(2*drainBound, func(v *simVM) bool { return v == older || knowsLeaving(id)(v) })
+				t.Logf("%s: in force after %v", older.self.VM, took)
+				assert.LessOrEqual(t, took, configTarget)
+				f.run(time.Second)
+			}
+		})
+	}
+}
+
+// firstOfAll returns the VM that reads the list of replicas for all.
+func (v *simVM) firstOfAll() string {
+	if v.readsForFleet() {
+		return v.self.VM
+	}
+	return v.fleetReader()
+}
+
 // TestUpgradedVMsBesideSilentOnes guards against an upgrade from a build that passes declarations on and does not say so.
 func TestUpgradedVMsBesideSilentOnes(t *testing.T) {
 	t.Parallel()
