--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -114,9 +114,9 @@
 	case p.silent && !p.lastBeaconAt.IsZero():
 		c.log.Info("vm-regained", zap.String("Peer", b.VM), zap.Duration("Silence", now.Sub(p.lastBeaconAt)))
 	}
-	cutOff := !canRelay(b.CutOff, b.Capabilities)
-	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.storeDistance != b.StoreDistance || p.cutOff != cutOff || p.lastBeaconAt.IsZero() || !c.catchUp.done
-	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving, p.version, p.vmCount, p.storeDistance, p.cutOff = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version, b.VMCount, b.StoreDistance, cutOff
+	relays := canRelay(b.CutOff, b.Capabilities)
+	c.peersChanged = c.peersChanged || p.silent || p.leaving != b.Leaving || p.storeDistance != b.StoreDistance || p.relays != relays || p.lastBeaconAt.IsZero() || !c.catchUp.done
+	p.incarnation, p.sequence, p.lastBeaconAt, p.silent, p.leaving, p.version, p.vmCount, p.storeDistance, p.relays = b.Incarnation, b.Sequence, now, false, b.Leaving, b.Version, b.VMCount, b.StoreDistance, relays
 }
 
 // recordPeerStart records the first beacon of a process.
--- a/gateway/event_queue.go
+++ b/gateway/event_queue.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,3 +40,20 @@
 	c.post(func() { answer <- f() })
 	return <-answer
 }
+
+// askUntilDone is ask for tasks that end together with the control goroutine: it waits until ctx is done at most, and reports whether f
+// has run.
+func askUntilDone[T any](ctx context.Context, c *Controller, f func() T) (result T, ok bool) {
+	answer := make(chan T, 1)
+	select {
+	case <-ctx.Done():
+		return result, false
+	case c.events <- event{func() { answer <- f() }, c.now()}:
+	}
+	select {
+	case <-ctx.Done():
+		return result, false
+	case result = <-answer:
+		return result, true
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -55,8 +55,8 @@
 	vmCount int
 	// storeDistance is its distance from the store.
 	storeDistance int
-	// cutOff is whether it has no way of its own to upstreams.
-	cutOff bool
+	// relays is whether it opens connections to upstreams for others: it says so, and has a way of its own to them.
+	relays bool
 	// zone is its availability zone, or empty if it is not known.
 	zone string
 	// state is its last beacon, which arrived at stateAt, and startedAt when its process started. They are kept in a fleet that
--- a/gateway/relay_peers.go
+++ b/gateway/relay_peers.go
@@ -54,7 +54,7 @@
 	var counts [relayDistances]int
 	for name, p := range c.peers {
 		distance := c.relayDistance(p)
-		if !p.stays() || p.cutOff || counts[distance] == maxRelayPeers {
+		if !p.stays() || !p.relays || counts[distance] == maxRelayPeers {
 			continue
 		}
 		counts[distance]++
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -52,23 +52,6 @@
 	}
 }
 
-// askUntilDone is ask for tasks that end together with the control goroutine: it waits until ctx is done at most, and reports whether f
-// has run.
-func askUntilDone[T any](ctx context.Context, c *Controller, f func() T) (result T, ok bool) {
-	answer := make(chan T, 1)
-	select {
-	case <-ctx.Done():
-		return result, false
-	case c.events <- event{func() { answer <- f() }, c.now()}:
-	}
-	select {
-	case <-ctx.Done():
-		return result, false
-	case result = <-answer:
-		return result, true
-	}
-}
-
 // cleanTimer returns a channel that fires when a record is due to be cleaned, or nil if there is none.
 func cleanTimer(written string) <-chan time.Time {
 	if written == "" {
--- a/gateway/summaries.go
+++ b/gateway/summaries.go
@@ -308,7 +308,7 @@
 			p.silent = true
 			continue
 		}
-		p.silent, p.leaving, p.lastBeaconAt, p.version, p.storeDistance, p.cutOff = false, member.Leaving, state.heardAt, state.version, member.StoreDistance, !canRelay(member.CutOff, member.Capabilities)
+		p.silent, p.leaving, p.lastBeaconAt, p.version, p.storeDistance, p.relays = false, member.Leaving, state.heardAt, state.version, member.StoreDistance, canRelay(member.CutOff, member.Capabilities)
 		p.startedTogether = (member.Uptime - state.heardAt.Sub(c.startedAt)).Abs() <= sameStartTolerance
 	}
 	for group, state := range g.states {
