gateway: an event stream by length that ends inside an event is not complete

A length says how many bytes an upstream has sent, not that the stream in them is whole. The length of an event stream is not announced to callers any more, so that an end inside an event can be told, and isTruncated judges such an end as that of chunks: resumable streams go on elsewhere, others break off.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -90,14 +90,11 @@
 }
 
 // isTruncated reports whether a stream that has ended with rest after its last complete event is truncated. started is whether it has had
-// a complete event. Nothing but its events says that a stream without framing is whole; one in chunks may have been ended by an upstream
-// that broke off in the middle of an event.
+// a complete event. Nothing but its events says that a stream without framing is whole. One in chunks or of an announced length may have been
+// ended by an upstream that broke off in the middle of an event.
 func isTruncated(resp *exchange.Response, started bool, rest []byte) bool {
-	switch resp.Framing {
-	case exchange.FramedByConn:
+	if resp.Framing == exchange.FramedByConn {
 		return !started || eventstream.HoldsEvent(rest)
-	case exchange.FramedByChunks:
-		return isEventStream(resp.Header) && eventstream.HoldsEvent(rest)
 	}
-	return false
+	return isEventStream(resp.Header) && eventstream.HoldsEvent(rest)
 }
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -51,3 +51,32 @@
 		}
 	}
 }
+
+// TestStreamOfAnnouncedLengthThatEndsInsideAnEventLooksComplete guards against a length that is taken for the end of the stream.
+func TestStreamOfAnnouncedLengthThatEndsInsideAnEventLooksComplete(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	scenarios := []struct {
+		name, body string
+		complete   bool
+	}{
+		{"whole", whole, true},
+		{"whole, with a comment at its end", whole + ": end\n", true},
+		{"inside an event", whole[:len(whole)-1], false},
+		{"inside the first event", "id: 1\nda", false},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			client, closeClient := exchange.NewClient(exchange.WithDial(rawUpstream{lengthAnswer(scenario.body), 1}.dial))
+			t.Cleanup(closeClient)
+			resp, err := client.Do(context.Background(), "upstream", exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+			require.NoError(t, err)
+			defer resp.Close()
+			recorder := httptest.NewRecorder()
+			w := &responseWriter{ResponseWriter: recorder, controller: http.NewResponseController(recorder), chunks: true}
+			w.prepare(resp.Status, resp.Header, resp.Framing, bodyLength(resp))
+			err = w.copyStream(resp, nil)
+			assert.Equal(t, scenario.complete, err == nil, "%v", err)
+			assert.Empty(t, recorder.Header().Get("Content-Length"), "the length would complete the stream")
+		})
+	}
+}
--- a/gateway/joined_answers_test.go
+++ b/gateway/joined_answers_test.go
@@ -63,6 +63,11 @@
 	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + stream
 }
 
+// lengthAnswer returns a stream whose length is announced.
+func lengthAnswer(stream string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(stream), stream)
+}
+
 // joinAnswers relays the answers of upstreams, one after the other while they break off and the stream can be resumed. answer returns the
 // answer of the next upstream, which is told the last event. joinAnswers returns what the caller gets, and whether as a complete stream.
 func joinAnswers(t testing.TB, answers int, piece int, answer func(n int, lastID string) string) (string, bool) {
@@ -139,6 +144,7 @@
 		"reset in a chunk":      func(stream string) string { return chunkedAnswer(stream, false) },
 		"chunks that are ended": func(stream string) string { return chunkedAnswer(stream, true) },
 		"unframed":              unframedAnswer,
+		"announced length":      lengthAnswer,
 	}
 	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
 		whole := numberedEvents(lineEnd, 1, lastNumber)
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -186,3 +186,12 @@
 		}
 	}
 }
+
+// bodyLength returns the length of the body of a response to announce to the caller, in bytes, or -1 for none. That of an event stream is
+// not announced, since the stream may turn out to end inside an event, and would be complete with its length.
+func bodyLength(resp *exchange.Response) int64 {
+	if isEventStream(resp.Header) {
+		return -1
+	}
+	return resp.Length
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -288,7 +288,7 @@
 func (s *Server) relayResponse(r *request, from placement.Replica, resp *exchange.Response) *Error {
 	defer resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", resp.Framing))
-	r.w.prepare(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, resp.Length)
+	r.w.prepare(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, bodyLength(resp))
 	if resp.Status == http.StatusOK && (r.route.Stream || isEventStream(resp.Header)) && !isEncoded(resp.Header) {
 		return relayError(s.copyStream(r, from, resp))
 	}
