soak: an unframed answer that ends early is a breach

Callers saw streams that ended as complete before their last event, and the soak counted those without framing as EndedUnframed and exited with 0. ORDER asks for the last event, whatever the bytes tell, so it is EndsEarly now.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -72,8 +72,6 @@
 	complete
 	// wrong attempts broke a rule.
 	wrong
-	// unframedEnd is an end that may be that of the stream or not.
-	unframedEnd
 )
 
 // run sends requests until ctx is done.
@@ -100,8 +98,6 @@
 		switch end {
 		case complete:
 			r.Completed++
-		case unframedEnd:
-			r.EndedUnframed++
 		case broken:
 			r.Abandoned++
 		}
@@ -205,11 +201,7 @@
 	if resp.Close || unframed {
 		c.disconnect()
 	}
-	kind := s.end()
-	if kind == EndsEarly && unframed {
-		return unframedEnd
-	}
-	if kind != "" {
+	if kind := s.end(); kind != "" {
 		return c.breach(s, kind, fmt.Sprintf("after %d of %d of %s, length %d, coding %v, rest %q", s.last, s.events, s.name, resp.ContentLength, resp.TransferEncoding, s.pending))
 	}
 	return complete
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -40,7 +40,7 @@
 	Lengths Kind = "lengths"
 	// Copies has replicas send an answer again on its connection, at once or before the next answer.
 	Copies Kind = "copies"
-	// Unframed has some answers end with their connection. One that is cut between two events cannot be told from a whole one.
+	// Unframed has some answers end with their connection.
 	Unframed Kind = "unframed"
 )
 
--- a/soak/report.go
+++ b/soak/report.go
@@ -34,8 +34,6 @@
 	Broken, Resumed int
 	// Abandoned is the number of streams that their callers gave up.
 	Abandoned int
-	// EndedUnframed is the number of unframed answers that ended between two events before the last one, which nothing in the bytes tells.
-	EndedUnframed int
 	// Refused is the number of answers by status that are no success.
 	Refused map[int]int
 	// Breaches holds the streams that broke a rule, and Counts their numbers by route and kind.
