soak: replicas without proxies, restarts after a fixed delay, reports

Cause: the users ran real processes on machines of their own; the soak always put a proxy before a replica, which accepts connections while it is down, and its replicas said nothing of themselves.

New: replicas listed at their own address, a fixed delay of restarts, kinds reborn (same ID and software, new born), gone and resets, callers that resume without Resumes, and GET /api/report, 421 and Weight-Versions at replicas.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -145,7 +145,9 @@
 	}
 	if s.last > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
-		r.Header.Set("Resumes", s.origin)
+		if !c.site.opts.WithoutResumes {
+			r.Header.Set("Resumes", s.origin)
+		}
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(patience))
 	if err := r.Write(c.conn); err != nil {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -78,6 +79,9 @@
 	case actionPause:
 		r.pause(ctx, f.duration)
 		return nil
+	case actionResets:
+		r.signal(resetSignal)
+		return nil
 	case actionReplace:
 		r.putEntry("draining")
 		sleep(ctx, drainDelay)
@@ -85,10 +89,22 @@
 		r.cfg.Version = otherVersion(r.cfg.Version)
 	}
 	r.kill()
-	if f.action != actionRestart {
+	if f.action == actionGone {
+		sleep(ctx, entryExpiry)
+		r.store.PutReplica(old, nil)
+		return nil
+	}
+	if f.action != actionRestart && f.action != actionReborn {
 		r.nextID()
-		sleep(ctx, f.duration)
 	}
+	if f.action != actionRestart {
+		sleep(ctx, cmp.Or(r.restartDelay, f.duration))
+	}
+	return r.startAgain(ctx, old)
+}
+
+// startAgain starts a replica after its process has ended, and updates its entries a little later. The old ID is that of the process before.
+func (r *replica) startAgain(ctx context.Context, old string) error {
 	if err := r.run(); err != nil {
 		return err
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -26,6 +26,12 @@
 	Versions Kind = "versions"
 	// Restarts starts a replica of the other software version under the same ID, and updates its entry a little later.
 	Restarts Kind = "restarts"
+	// Reborn starts a killed replica again under its ID, with the same software.
+	Reborn Kind = "reborn"
+	// Gone kills a share of the replicas, which do not come back.
+	Gone Kind = "gone"
+	// Resets has replicas reset all their connections and serve on.
+	Resets Kind = "resets"
 	// StoreFaults has the store answer late, not at all or with closed connections.
 	StoreFaults Kind = "store"
 	// Joints has replicas that are told Last-Event-Id begin anew, with the last event again or with one left out.
@@ -48,7 +54,7 @@
 type Kinds []Kind
 
 // AllKinds holds all kinds of faults.
-var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Unframed}
+var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, Reborn, Gone, Resets, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Unframed}
 
 // Has reports whether k is in the set.
 func (k Kinds) Has(kind Kind) bool { return slices.Contains(k, kind) }
@@ -87,6 +93,9 @@
 	actionReplace action = "replace" // replica: drain, SIGKILL, and a new start with a new ID
 	actionUpgrade action = "upgrade" // replica: as kill, and the new process has the other software version
 	actionRestart action = "restart" // replica: as upgrade, with the same ID and an entry that changes later
+	actionReborn  action = "reborn"  // replica: as kill, with the same ID; the entry's sequence starts anew
+	actionGone    action = "gone"    // replica: SIGKILL; the entry goes a little later
+	actionResets  action = "resets"  // replica: resets all its connections
 	actionDelay   action = "delay"   // store: late answers
 	actionSilence action = "silence" // store: no answers
 	actionDown    action = "down"    // store: closed connections
@@ -129,6 +138,9 @@
 	}
 	for n := range opts.Replicas {
 		p.add(replicaName(n), replicaActions(opts.Faults))
+		if opts.Faults.Has(Gone) {
+			p.addEnd(replicaName(n))
+		}
 	}
 	if opts.Faults.Has(StoreFaults) {
 		p.add(storeTarget, []action{actionDelay, actionDelay, actionSilence, actionDown})
@@ -155,6 +167,12 @@
 	if faults.Has(Restarts) {
 		actions = append(actions, actionRestart)
 	}
+	if faults.Has(Reborn) {
+		actions = append(actions, actionReborn, actionReborn)
+	}
+	if faults.Has(Resets) {
+		actions = append(actions, actionResets)
+	}
 	return actions
 }
 
@@ -172,6 +190,20 @@
 	}
 }
 
+// goneShare is one in how many replicas ends for good.
+const goneShare = 4
+
+// addEnd ends some replicas for good, at any time of the run, in the place of their later faults.
+func (p *Plan) addEnd(target string) {
+	rng := newRand(p.opts.Seed, "end of "+target)
+	at := time.Duration(rng.Int64N(int64(p.opts.Duration)))
+	if rng.IntN(goneShare) > 0 {
+		return
+	}
+	p.steps = slices.DeleteFunc(p.steps, func(s step) bool { return s.target == target && s.at > at })
+	p.steps = append(p.steps, step{at: at, target: target, action: actionGone})
+}
+
 // stepsOf returns the steps of one target in order.
 func (p Plan) stepsOf(target string) []step {
 	return slices.DeleteFunc(slices.Clone(p.steps), func(s step) bool { return s.target != target })
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -37,3 +37,17 @@
 	var soakErr *Error
 	assert.ErrorAs(t, err, &soakErr)
 }
+
+func TestReplicasThatAreGoneHaveNoLaterFaults(t *testing.T) {
+	plan := NewPlan(planOptions(4))
+	gone := 0
+	for n := range planOptions(4).Replicas {
+		for k, f := range plan.stepsOf(replicaName(n)) {
+			if f.action == actionGone {
+				gone++
+				assert.Len(t, plan.stepsOf(replicaName(n)), k+1)
+			}
+		}
+	}
+	assert.Positive(t, gone)
+}
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -10,8 +10,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cassiabridge/cassiabridge/standin"
@@ -25,13 +29,29 @@
 	// copyShare is one in how many answers comes twice where that happens.
 	copyShare  = 6
 	healthPath = "/health"
+	reportPath = "/api/report"
 	handlePath = "/api/kv-handle/"
+	// resetSignal has a replica reset its connections.
+	resetSignal = syscall.SIGUSR1
+	// modelName and weightVersion are those of all model replicas, kvTokens is the memory of each, and runPriority the rank of its runs.
+	modelName     = "m"
+	weightVersion = 1
+	kvTokens      = 76160
+	runPriority   = 5
+	// reportInterval is how long a report is given out.
+	reportInterval = 500 * time.Millisecond
+	// promptTokens is the number of prompt tokens of each request.
+	promptTokens = 50
+	jsonType     = "Content-Type: application/json\r\n"
+	notExecuted  = "Not-Executed: 1\r\n"
 )
 
 // replicaConfig configures the process of a replica.
 type replicaConfig struct {
 	ID, Stage, Version, Address string
 	Seed                        uint64
+	// Born is the Unix millisecond of the start.
+	Born int64
 	// Odd holds how some answers disregard the protocol.
 	Odd []oddity
 	// Copies has some answers come twice. Unframed has some end with their connection.
@@ -53,6 +73,31 @@
 	os.Exit(1)
 }
 
+// replicaServer is the process of a replica.
+type replicaServer struct {
+	replicaConfig
+	mu sync.Mutex
+	// runs holds the streams under way by their numbers, and conns the open connections.
+	runs  map[int]*modelRun
+	conns map[net.Conn]bool
+	// started is the number of runs that were started.
+	started int
+	// latest is the report that is given out.
+	latest string
+}
+
+// modelRun is a stream under way.
+type modelRun struct {
+	id     string
+	events atomic.Int64
+}
+
+func newReplicaServer(c replicaConfig) *replicaServer {
+	s := &replicaServer{replicaConfig: c, runs: map[int]*modelRun{}, conns: map[net.Conn]bool{}}
+	s.latest = s.report()
+	return s
+}
+
 func (c replicaConfig) serve() error {
 	listener, err := net.Listen("tcp", c.Address)
 	for deadline := time.Now().Add(listenTimeout); err != nil && time.Now().Before(deadline); listener, err = net.Listen("tcp", c.Address) {
@@ -61,18 +106,96 @@
 	if err != nil {
 		return err
 	}
+	s := newReplicaServer(c)
+	go s.resetOnSignal()
+	go s.renewReport()
 	for n := 0; ; n++ {
 		conn, err := listener.Accept()
 		if err != nil {
 			return err
 		}
-		go c.serveConn(conn, newRand(c.Seed, fmt.Sprint(c.ID, c.Version, n)))
+		go s.serveConn(conn, newRand(c.Seed, fmt.Sprint(c.ID, c.Version, c.Born, n)))
+	}
+}
+
+// resetOnSignal resets all connections at each resetSignal.
+func (s *replicaServer) resetOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, resetSignal)
+	for range signals {
+		s.mu.Lock()
+		for conn := range s.conns {
+			reset(conn.(*net.TCPConn))
+		}
+		s.mu.Unlock()
 	}
 }
 
+// track adds a connection to the open ones. The returned function removes it.
+func (s *replicaServer) track(conn net.Conn) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	}
+}
+
+// startRun adds a stream to those under way. The returned function removes it.
+func (s *replicaServer) startRun(id string) (*modelRun, func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started++
+	n, run := s.started, &modelRun{id: id}
+	s.runs[n] = run
+	return run, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.runs, n)
+	}
+}
+
+// renewReport renews the report from time to time: what replicas say of themselves is some hundred ms old.
+func (s *replicaServer) renewReport() {
+	for {
+		s.mu.Lock()
+		s.latest = s.report()
+		s.mu.Unlock()
+		time.Sleep(reportInterval)
+	}
+}
+
+// report returns what the replica says of itself.
+func (s *replicaServer) report() string {
+	runs := [][]any{}
+	var used int64
+	for _, r := range s.runs {
+		events := r.events.Load()
+		runs = append(runs, []any{r.id, promptTokens + events, events, runPriority})
+		used += promptTokens + events
+	}
+	fields := map[string]any{"born": s.Born, "sequence": 0, "busy": false, "queued": 0, "active": len(runs), "state": "ready", "kvUsed": used,
+		"kvTotal": kvTokens, "kvHandles": 0, "next": 0, "pinned": 0, "held": 0, "runs": runs}
+	if s.Stage != "" {
+		fields["stage"] = s.Stage
+		fields["models"] = []any{map[string]any{"name": modelName, "version": weightVersion, "adapters": []string{}}}
+	}
+	data, _ := json.Marshal(fields)
+	return string(data)
+}
+
+func (s *replicaServer) latestReport() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest
+}
+
 // serveConn answers the requests on a connection, one after the other.
-func (c replicaConfig) serveConn(conn net.Conn, rng *rand.Rand) {
+func (s *replicaServer) serveConn(conn net.Conn, rng *rand.Rand) {
 	defer conn.Close()
+	defer s.track(conn)()
 	reader := bufio.NewReader(conn)
 	var last bytes.Buffer
 	for {
@@ -81,11 +204,11 @@
 			return
 		}
 		body, err := io.ReadAll(r.Body)
-		if err != nil || !c.copyAnswer(conn, last.Bytes(), rng) {
+		if err != nil || !s.copyAnswer(conn, last.Bytes(), rng) {
 			return
 		}
 		last.Reset()
-		if !c.answer(io.MultiWriter(conn, &last), r, string(body), rng) || !c.copyAnswer(conn, last.Bytes(), rng) {
+		if !s.answer(io.MultiWriter(conn, &last), r, string(body), rng) || !s.copyAnswer(conn, last.Bytes(), rng) {
 			return
 		}
 	}
@@ -101,7 +224,7 @@
 }
 
 // answer answers a request and reports whether the connection can be used again.
-func (c replicaConfig) answer(w io.Writer, r *http.Request, body string, rng *rand.Rand) bool {
+func (s *replicaServer) answer(w io.Writer, r *http.Request, body string, rng *rand.Rand) bool {
 	head := func(status int, fields string) string {
 		return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s", status, http.StatusText(status), standin.HeaderAttempt, r.Header.Get(standin.HeaderAttempt), fields)
 	}
@@ -109,32 +232,39 @@
 		_, err := io.WriteString(w, head(status, fields)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
 		return err == nil
 	}
-	if target := r.Header.Get(standin.HeaderReplica); target != "" && target != c.ID {
-		return send(http.StatusMisdirectedRequest, "", "")
+	if target := r.Header.Get(standin.HeaderReplica); target != "" && target != s.ID {
+		return send(http.StatusMisdirectedRequest, notExecuted, "")
 	}
-	if r.URL.Path == healthPath || strings.HasPrefix(r.URL.Path, handlePath) {
-		return send(http.StatusOK, "Instance-Id: "+c.ID+"\r\n", "")
+	switch {
+	case r.URL.Path == reportPath:
+		return send(http.StatusOK, jsonType, s.latestReport())
+	case r.URL.Path == healthPath, strings.HasPrefix(r.URL.Path, handlePath):
+		return send(http.StatusOK, "Instance-Id: "+s.ID+"\r\n", "")
 	}
 	prefill := r.Header.Get(standin.HeaderStage) == "prefill"
-	if c.Stage != "" && prefill != (c.Stage == "prefill") {
-		return send(http.StatusMisdirectedRequest, "", "")
+	if s.Stage != "" && prefill != (s.Stage == "prefill") {
+		return send(http.StatusMisdirectedRequest, notExecuted, "")
 	}
 	wanted, err := parsePrompt(body)
 	if err != nil {
-		return send(http.StatusBadRequest, "Not-Executed: 1\r\n", err.Error())
+		return send(http.StatusBadRequest, notExecuted, err.Error())
 	}
 	if prefill {
-		handle := fmt.Sprintf(`{"kvHandle":"%s","tokens":50,"version":1}`, wanted.Name)
-		return send(http.StatusOK, "Content-Type: application/json\r\n", handle)
+		return send(http.StatusOK, jsonType, fmt.Sprintf(`{"kvHandle":"%s","tokens":%d,"version":%d}`, wanted.Name, promptTokens, weightVersion))
 	}
 	if source := r.Header.Get("Kv-Source"); source != "" {
 		_, wanted.Name, _ = strings.Cut(source, "/")
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	answer := newStreamAnswer(c, wanted, last, rng)
-	fields := standin.HeaderSignature + ": by " + c.ID + "\r\nContent-Type: text/event-stream\r\n" + answer.framingFields()
+	run, end := s.startRun(r.Header.Get(standin.HeaderAttempt))
+	defer end()
+	answer := newStreamAnswer(s.replicaConfig, wanted, last, rng)
+	fields := standin.HeaderSignature + ": by " + s.ID + "\r\nContent-Type: text/event-stream\r\n" + answer.framingFields()
+	if s.Stage != "" {
+		fields += fmt.Sprintf("Weight-Versions: %d\r\n", weightVersion)
+	}
 	if _, err := io.WriteString(w, head(http.StatusOK, fields)+"\r\n"); err != nil {
 		return false
 	}
-	return answer.write(w) == nil && answer.framing != untilClose
+	return answer.write(w, &run.events) == nil && answer.framing != untilClose
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -180,16 +180,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// replica is a replica as a process of its own, which is listed at the address of its proxy.
+// replica is a replica as a process of its own, which is listed at the address of its proxy, if it has one.
 type replica struct {
 	process
 	cfg replicaConfig
-	// address is that of the proxy, starts the number of starts, and sequence that of the entry.
+	// address is that of the entry, starts the number of starts, and sequence that of the entry.
 	address, service string
 	starts, sequence int
-	// born is the time of the last start.
-	born  time.Time
-	store *standin.Store
+	// restartDelay is the time between the end of a process and the next start, or 0 for that of the fault.
+	restartDelay time.Duration
+	store        *standin.Store
 }
 
 // rolesOfReplicas holds the stages of replicas by number; an empty one is of the plain service.
@@ -200,7 +200,7 @@
 
 // startReplica starts the n-th replica and its proxy. The returned function ends them; it is not nil in case of an error.
 func startReplica(s *site, n int, unframed bool) (*replica, func(), error) {
-	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: engineService, store: s.store}
+	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: engineService, store: s.store, restartDelay: s.opts.RestartDelay}
 	addrs, err := s.ports.addresses(2)
 	if err != nil {
 		return r, r.close, err
@@ -215,8 +215,10 @@
 	if s.opts.Faults.Has(Versions) {
 		r.cfg.Version = softwareVersions[(n/roles+n)%len(softwareVersions)]
 	}
-	closeProxy, err := startProxy(r.address, r.cfg.Address, r.name, s.opts.Seed, s.opts.Faults.Has(Network))
-	if err != nil {
+	closeProxy := func() {}
+	if s.opts.Direct {
+		r.address = r.cfg.Address
+	} else if closeProxy, err = startProxy(r.address, r.cfg.Address, r.name, s.opts.Seed, s.opts.Faults.Has(Network)); err != nil {
 		return r, r.close, err
 	}
 	r.nextID()
@@ -233,7 +235,7 @@
 
 // run starts the process with the current configuration.
 func (r *replica) run() error {
-	r.sequence, r.born = 0, time.Now()
+	r.sequence, r.cfg.Born = 0, time.Now().UnixMilli()
 	cfg, err := json.Marshal(r.cfg)
 	if err != nil {
 		return &Error{"encode configuration", err}
@@ -249,7 +251,7 @@
 func (r *replica) putEntry(state string) {
 	r.sequence++
 	entry := map[string]any{"service": r.service, "address": r.address, "zone": "zone-a", "version": r.cfg.Version, "slots": 48, "state": state,
-		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.born.UnixMilli()}
+		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.cfg.Born}
 	if r.cfg.Stage != "" {
 		entry["stage"] = r.cfg.Stage
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,12 @@
 	VMs, Replicas, Callers int
 	// Faults holds the kinds of faults that are injected.
 	Faults Kinds
+	// Direct lists replicas at their own addresses, without proxies. Faults of the network are left out then.
+	Direct bool
+	// RestartDelay is the time after which an ended replica starts again, or 0 for that of the fault.
+	RestartDelay time.Duration
+	// WithoutResumes has callers resume with Last-Event-Id alone.
+	WithoutResumes bool
 	// Binaries holds the paths of the programs under test: the first VM runs the first one, and so on, and from the start again.
 	Binaries []string
 	// Dir is a folder for settings and logs.
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -187,14 +188,15 @@
 	return "Transfer-Encoding: chunked\r\n"
 }
 
-// write writes the events, some at once, with a gap after each write.
-func (a *streamAnswer) write(w io.Writer) error {
+// write writes the events, some at once, with a gap after each write, and counts them in written.
+func (a *streamAnswer) write(w io.Writer, written *atomic.Int64) error {
 	for events := a.events; len(events) > 0; {
 		n := min(len(events), 1+a.rng.IntN(maxWriteEvents))
 		if _, err := w.Write(a.frame(bytes.Join(events[:n], nil))); err != nil {
 			return err
 		}
 		events = events[n:]
+		written.Add(int64(n))
 		time.Sleep(a.gap)
 	}
 	if a.framing == inChunks {
