--- /dev/null
+++ b/integration/mortal_replica_test.go
@@ -0,0 +1,196 @@
+package integration
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/standin"
+)
+
+const (
+	// supervisorDelay is how long after a process has ended its supervisor starts the next one.
+	supervisorDelay = time.Millisecond
+	// entryDelay is how long after its start a process is named by the list of replicas.
+	entryDelay = 300 * time.Millisecond
+	// killDelay is how long after the start of its answer a process is killed.
+	killDelay = 20 * time.Millisecond
+)
+
+// mortalReplica is a replica whose process is killed in the middle of each answer: its connections end in an orderly way. What comes next
+// at its address is up to restart.
+type mortalReplica struct {
+	site          *site
+	service, addr string
+	// answer returns the start of an answer, without framing. A process that answers "" to a request refuses it.
+	answer func(process standin.Process, r *http.Request) string
+	// restart is called once a process has ended.
+	restart func(*mortalReplica)
+
+	mu       sync.Mutex
+	process  standin.Process
+	listener net.Listener
+	conns    []net.Conn
+}
+
+// startMortal starts the first process of a replica and lists it.
+func (s *site) startMortal(m *mortalReplica, id, stage string) *mortalReplica {
+	listener := listen(s.t)
+	m.site, m.addr = s, listener.Addr().String()
+	process := m.start(listener, id, stage)
+	s.t.Cleanup(m.kill)
+	s.listReplica(process, m.service, m.addr)
+	return m
+}
+
+// start starts a process on a listener.
+func (m *mortalReplica) start(listener net.Listener, id, stage string) standin.Process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	process := standin.NewProcess(id, stage)
+	m.process, m.listener = process, listener
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if !m.keep(listener, conn) {
+				conn.Close()
+				continue
+			}
+			go m.serve(conn, process)
+		}
+	}()
+	return process
+}
+
+// keep records a connection of a process, and reports whether the process is alive.
+func (m *mortalReplica) keep(listener net.Listener, conn net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conns = append(m.conns, conn)
+	return m.listener == listener
+}
+
+// kill ends the process as the kernel does: its port and its connections are closed.
+func (m *mortalReplica) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listener == nil {
+		return
+	}
+	m.listener.Close()
+	for _, conn := range m.conns {
+		conn.Close()
+	}
+	m.listener, m.conns = nil, nil
+}
+
+// serve answers requests on a connection of a process. The first one that is answered ends the process.
+func (m *mortalReplica) serve(conn net.Conn, process standin.Process) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		own, answer := process.RawAnswer(r), ""
+		if own == "" {
+			answer = m.answer(process, r)
+		}
+		if own == "" && answer == "" {
+			own = "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderAttempt + ": " + r.Header.Get(standin.HeaderAttempt) + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+		if _, err = io.WriteString(conn, own+answer); err != nil {
+			return
+		}
+		if answer != "" {
+			time.Sleep(killDelay)
+			m.kill()
+			m.restart(m)
+			return
+		}
+	}
+}
+
+// listenAgain listens at the address of a replica whose process has ended.
+func (m *mortalReplica) listenAgain() net.Listener {
+	time.Sleep(supervisorDelay)
+	listener, err := net.Listen("tcp", m.addr)
+	require.NoError(m.site.t, err)
+	return listener
+}
+
+// restartAs starts the next process under the ID of the one before and a suffix. The list names it later.
+func (m *mortalReplica) restartAs(suffix string) {
+	m.mu.Lock()
+	before := m.process
+	m.mu.Unlock()
+	process := m.start(m.listenAgain(), before.ID+suffix, before.Stage)
+	time.Sleep(entryDelay)
+	m.site.listReplica(process, m.service, m.addr)
+	if suffix != "" {
+		m.site.store.PutReplica(before.ID, nil)
+	}
+}
+
+// restartUnderSameID has a supervisor start the next process under the ID of the one before.
+func (m *mortalReplica) restartUnderSameID() { m.restartAs("") }
+
+// restartUnderNewID has a supervisor start the next process under an ID of its own.
+func (m *mortalReplica) restartUnderNewID() { m.restartAs("-next") }
+
+// leaveProxy has the proxy before the replica go on: it accepts connections and resets them.
+func (m *mortalReplica) leaveProxy() {
+	listener := m.listenAgain()
+	m.site.t.Cleanup(func() { listener.Close() })
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
+// unframedStart returns the start of an answer that only the end of its connection ends.
+func unframedStart(process standin.Process, r *http.Request, contentType, body string) string {
+	return "HTTP/1.1 200 OK\r\n" + standin.HeaderAttempt + ": " + r.Header.Get(standin.HeaderAttempt) + "\r\n" +
+		standin.HeaderSignature + ": by " + process.ID + "\r\nContent-Type: " + contentType + "\r\n\r\n" + body
+}
+
+// removeReplicas removes the entries of replicas and waits until VMs have noticed.
+func (s *site) removeReplicas(ids ...string) {
+	for _, id := range ids {
+		s.store.PutReplica(id, nil)
+	}
+	time.Sleep(maxSitePropagationDelay)
+}
+
+// sendTogether sends count requests, a few at a time, and returns the answers.
+func sendTogether(t testing.TB, count int, send func(n int) siteResponse) []siteResponse {
+	t.Helper()
+	const callers = 8
+	answers := make([]siteResponse, count)
+	var group sync.WaitGroup
+	for part := range slices.Chunk(answers, (count+callers-1)/callers) {
+		group.Go(func() {
+			for n := range part {
+				part[n] = send(n)
+			}
+		})
+	}
+	group.Wait()
+	return answers
+}
--- a/integration/raw_replica_test.go
+++ b/integration/raw_replica_test.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/standin"
 )
 
 // rawCut at the end of an answer closes the connection after what is before it.
@@ -17,32 +20,36 @@
 // service and stage. serveConn is called for each connection and returns the function that answers the requests on it, one after
 // the other.
 func (s *site) startRawReplica(id, service, stage string, serveConn func() func(*http.Request) string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	s.t.Cleanup(func() { listener.Close() })
+	listener := listen(s.t)
+	process := standin.NewProcess(id, stage)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go serveRaw(conn, serveConn())
+			go serveRaw(conn, process, serveConn())
 		}
 	}()
-	s.listReplica(id, service, stage, listener.Addr().String())
+	s.listReplica(process, service, listener.Addr().String())
+}
+
+// listen listens on a loopback address until the test ends.
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	return listener
 }
 
 // listReplica writes the entry of a replica that runs version v1.
-func (s *site) listReplica(id, service, stage, addr string) {
-	entry := map[string]any{"service": service, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-		"address": addr}
-	if stage != "" {
-		entry["stage"] = stage
-	}
-	s.store.PutReplica(id, entry)
+func (s *site) listReplica(process standin.Process, service, addr string) {
+	s.store.PutReplica(process.ID, process.Entry(service, addr))
 }
 
-func serveRaw(conn net.Conn, answer func(*http.Request) string) {
+// serveRaw answers the requests on a connection one after the other, those for what the process says of itself included.
+func serveRaw(conn net.Conn, process standin.Process, answer func(*http.Request) string) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -53,7 +60,11 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		data, cut := strings.CutSuffix(answer(r), rawCut)
+		data := process.RawAnswer(r)
+		if data == "" {
+			data = answer(r)
+		}
+		data, cut := strings.CutSuffix(data, rawCut)
 		if _, err := io.WriteString(conn, data); err != nil || cut {
 			return
 		}
--- a/integration/restarting_replica_test.go
+++ b/integration/restarting_replica_test.go
@@ -89,11 +89,7 @@
 	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: replica.Handler(e.site.takeResult)}}
 	server.Start()
 	e.servers[address] = server
-	entry := map[string]any{"service": e.spec.service, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "address": address}
-	if cfg.Stage != "" {
-		entry["stage"] = cfg.Stage
-	}
-	e.site.store.PutReplica(cfg.ID, entry)
+	e.site.listReplica(replica.Process(), e.spec.service, address)
 }
 
 // end closes a replica's connections and its port, and starts it again later.
--- a/integration/site_killed_replica_test.go
+++ b/integration/site_killed_replica_test.go
@@ -1,46 +1,20 @@
 package integration
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"github.com/cassiabridge/cassiabridge/standin"
 )
 
-// startMortalReplica starts a replica that writes the start of an answer without framing and then ends as a killed process does: its
-// listener and its connections are closed in an orderly way.
+// startMortalReplica starts a replica that writes the start of an answer without framing, is killed and does not come back.
 func (s *site) startMortalReplica(id, service, stage, contentType, start string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	s.t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+standin.HeaderAttempt+": "+r.Header.Get(standin.HeaderAttempt)+"\r\n"+
-					standin.HeaderSignature+": by r\r\nContent-Type: "+contentType+"\r\n\r\n"+start)
-				time.Sleep(20 * time.Millisecond)
-				listener.Close()
-			}()
-		}
-	}()
-	s.listReplica(id, service, stage, listener.Addr().String())
+	s.startMortal(&mortalReplica{service: service, restart: func(*mortalReplica) {}, answer: func(process standin.Process, r *http.Request) string {
+		return unframedStart(process, r, contentType, start)
+	}}, id, stage)
 }
 
 // TestSiteKilledReplicaCompletesAnAnswer guards against an answer without framing that looks complete when its replica is killed between
--- a/integration/site_odd_status_test.go
+++ b/integration/site_odd_status_test.go
@@ -53,19 +53,18 @@
 	s.configure(func(c *standin.Configuration) { c.Limits["maxBodyBytes"] = 16 << 20 })
 	s.updateEntry("s-0", "state", "draining")
 	s.updateEntry("s-1", "state", "draining")
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { listener.Close() })
+	listener := listen(t)
+	process := standin.NewProcess("r-0", "")
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go answerEarlyAndCut(conn)
+			go answerEarlyAndCut(conn, process)
 		}
 	}()
-	s.store.PutReplica("r-0", map[string]any{"service": deskService, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "address": listener.Addr().String()})
+	s.listReplica(process, deskService, listener.Addr().String())
 	time.Sleep(maxSitePropagationDelay)
 	for range 20 {
 		a := s.send(s.vms[0], siteRequest{method: http.MethodPost, path: "/release/a", body: strings.Repeat("x", 8<<20)})
@@ -75,7 +74,7 @@
 }
 
 // answerEarlyAndCut answers as soon as the header of a request has arrived, and resets the connection.
-func answerEarlyAndCut(conn net.Conn) {
+func answerEarlyAndCut(conn net.Conn, process standin.Process) {
 	reader := bufio.NewReader(conn)
 	r, err := http.ReadRequest(reader)
 	if err == nil {
--- a/integration/site_oracle_test.go
+++ b/integration/site_oracle_test.go
@@ -35,16 +35,12 @@
 	id, addr string
 }
 
-func (s *site) listOracle(id, addr string) {
-	s.store.PutReplica(id, map[string]any{"service": "oracles", "address": addr, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1})
-}
-
 // newOracleSite returns a site with one VM and a service of four oracles, which a non-idempotent and an idempotent
 // route use.
 func newOracleSite(t *testing.T, seed uint64) (*site, []*listedOracle) {
 	s := newSite(t, 1)
 	s.configure(func(c *standin.Configuration) {
-		c.Services = append(c.Services, map[string]any{"name": "oracles", "healthPath": "/health", "maxConnections": 100})
+		c.Services = append(c.Services, map[string]any{"name": "oracles", "healthPath": standin.HealthPath, "maxConnections": 100})
 		c.Routes = append(c.Routes, standin.Route("once", host, "/once/", "non_idempotent", "oracles", map[string]any{"maxAttempts": 2}),
 			standin.Route("often", host, "/often/", "idempotent", "oracles", map[string]any{"maxAttempts": 2}))
 	})
@@ -56,7 +52,7 @@
 		require.NoError(t, err)
 		t.Cleanup(stop)
 		oracles = append(oracles, &listedOracle{oracle, id, addr})
-		s.listOracle(id, addr)
+		s.listReplica(oracle.Process(), "oracles", addr)
 	}
 	time.Sleep(maxSitePropagationDelay)
 	return s, oracles
@@ -101,7 +97,7 @@
 		o.id = fmt.Sprintf("%s-%d", o.addr, n)
 		o.SetReplicaID(o.id)
 		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
-		s.listOracle(o.id, o.addr)
+		s.listReplica(o.Process(), "oracles", o.addr)
 		s.store.PutReplica(old, nil)
 	})
 }
--- a/integration/site_restarted_replica_test.go
+++ b/integration/site_restarted_replica_test.go
@@ -32,14 +32,14 @@
 	return rawEvents(attempt, b.String()) + lastChunk
 }
 
-// serveVersion serves a decode engine of a software version on a listener until it is closed.
-func serveVersion(listener net.Listener, version string, cut bool) {
+// serveVersion serves a process of a decode engine, which runs a software version, on a listener until it is closed.
+func serveVersion(listener net.Listener, process standin.Process, version string, cut bool) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go serveRaw(conn, func(r *http.Request) string {
+		go serveRaw(conn, process, func(r *http.Request) string {
 			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 			return versionedEvents(r.Header.Get(standin.HeaderAttempt), version, last+1, cut)
 		})
@@ -54,8 +54,9 @@
 	restarting, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	addr := restarting.Addr().String()
-	go serveVersion(restarting, "v1", false)
-	s.listReplica("restarting", engineService, "decode", addr)
+	before := standin.NewProcess("restarting", "decode")
+	go serveVersion(restarting, before, "v1", false)
+	s.listReplica(before, engineService, addr)
 	time.Sleep(maxSitePropagationDelay)
 	restarting.Close()
 	// Each VM that sends something to it now learns that it has ended.
@@ -63,13 +64,12 @@
 	restarted, err := net.Listen("tcp", addr)
 	require.NoError(t, err)
 	t.Cleanup(func() { restarted.Close() })
-	go serveVersion(restarted, "v2", false)
-	breaking, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { breaking.Close() })
+	go serveVersion(restarted, standin.NewProcess(before.ID, before.Stage), "v2", false)
+	breaking := listen(t)
+	other := standin.NewProcess("breaking", "decode")
 	var begun atomic.Int64
-	go serveVersion(breaking, "v1", true)
-	s.listReplica("breaking", engineService, "decode", breaking.Addr().String())
+	go serveVersion(breaking, other, "v1", true)
+	s.listReplica(other, engineService, breaking.Addr().String())
 	time.Sleep(maxSitePropagationDelay)
 	for range requestsForEachEngine {
 		a := s.send(s.vms[0], streamRequest("/check/a"))
--- a/integration/site_test.go
+++ b/integration/site_test.go
@@ -71,10 +71,10 @@
 			standin.Route("open", host, "/open/", "idempotent", deskService, map[string]any{"public": true}),
 		},
 		Services: []map[string]any{
-			{"name": engineService, "healthPath": "/health", "maxConnections": 300,
+			{"name": engineService, "healthPath": standin.HealthPath, "maxConnections": 300,
 				"engine": map[string]any{"slots": 48, "kvCapacityTokens": 76160, "kvBytes": 163840, "kvRetentionS": 0.5, "stride": 1}},
-			{"name": deskService, "healthPath": "/health", "maxConnections": 100},
-			{"name": spareService, "healthPath": "/health", "maxConnections": 100},
+			{"name": deskService, "healthPath": standin.HealthPath, "maxConnections": 100},
+			{"name": spareService, "healthPath": standin.HealthPath, "maxConnections": 100},
 		},
 		Limits: map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		Tenants: []map[string]any{
@@ -130,13 +130,8 @@
 // addReplica starts a stand-in replica and writes its entry to the store.
 func (s *site) addReplica(spec replicaSpec) *testReplica {
 	replica := standin.NewReplica(spec.ReplicaConfig)
-	p := &testReplica{Replica: replica, entry: map[string]any{"service": spec.service, "zone": "zone-a", "version": "v1", "slots": 48, "state": "ready",
-		"coldRemainingMs": 0, "sequence": 1}}
-	if spec.Stage != "" {
-		p.entry["stage"] = spec.Stage
-	}
-	p.address = serve(s.t, replica.Handler(s.takeResult))
-	p.entry["address"] = p.address
+	p := &testReplica{Replica: replica, address: serve(s.t, replica.Handler(s.takeResult))}
+	p.entry = replica.Process().Entry(spec.service, p.address)
 	s.replicas[spec.ID] = p
 	s.store.PutReplica(spec.ID, p.entry)
 	return p
--- a/standin/oracle.go
+++ b/standin/oracle.go
@@ -70,7 +70,7 @@
 	seed uint64
 
 	mu        sync.Mutex
-	id        string
+	process   Process
 	runs      []Run
 	exchanges map[string]int
 	conns     map[net.Conn]bool
@@ -79,7 +79,7 @@
 // NewOracle returns an upstream with replica ID id. Its behavior is determined by the seed, the
 // attempt ID and the number of earlier requests for that attempt.
 func NewOracle(id string, seed uint64) *Oracle {
-	return &Oracle{id: id, seed: seed, exchanges: map[string]int{}, conns: map[net.Conn]bool{}}
+	return &Oracle{process: NewProcess(id, ""), seed: seed, exchanges: map[string]int{}, conns: map[net.Conn]bool{}}
 }
 
 // Listen serves connections on a free loopback port. It returns the address and a function that
@@ -112,15 +112,18 @@
 func (o *Oracle) SetReplicaID(id string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.id = id
+	o.process = NewProcess(id, "")
 }
 
-func (o *Oracle) replicaID() string {
+// Process returns what the upstream says of itself.
+func (o *Oracle) Process() Process {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.id
+	return o.process
 }
 
+func (o *Oracle) replicaID() string { return o.Process().ID }
+
 // Runs returns a copy of the record of requests that were run.
 func (o *Oracle) Runs() []Run {
 	o.mu.Lock()
@@ -164,6 +167,9 @@
 
 // handle serves one request with its drawn behavior, and reports whether the connection stays open.
 func (o *Oracle) handle(conn net.Conn, r *http.Request) bool {
+	if answer := o.Process().RawAnswer(r); answer != "" {
+		return writeText(conn, answer)
+	}
 	attempt := r.Header.Get(HeaderAttempt)
 	behavior := o.nextBehavior(attempt)
 	answerBody := ServiceAnswer(attempt)
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -94,6 +94,7 @@
 // Replica is a test double of an upstream: a plain service, a prefill engine or a decode engine.
 type Replica struct {
 	cfg      ReplicaConfig
+	process  Process
 	protocol replicaProtocol
 
 	// reading holds one element while a prompt is read: a prefill engine reads one after another.
@@ -114,9 +115,12 @@
 	if cfg.NativeProtocol {
 		wire = nativeProtocol
 	}
-	return &Replica{cfg: cfg, protocol: wire, handles: map[string]bool{}, reading: make(chan struct{}, 1)}
+	return &Replica{cfg: cfg, process: NewProcess(cfg.ID, cfg.Stage), protocol: wire, handles: map[string]bool{}, reading: make(chan struct{}, 1)}
 }
 
+// Process returns what the replica says of itself.
+func (p *Replica) Process() Process { return p.process }
+
 // SetFaults replaces the current faults.
 func (p *Replica) SetFaults(faults ReplicaFaults) {
 	p.mu.Lock()
@@ -194,6 +198,11 @@
 		<-r.Context().Done()
 		return
 	}
+	if isReport(r) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, p.process.report())
+		return
+	}
 	if target := r.Header.Get(p.protocol.replica); target != "" && target != p.cfg.ID {
 		p.refuse(w, http.StatusMisdirectedRequest)
 		return
@@ -202,6 +211,10 @@
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
+	if isHealthCheck(r) {
+		p.answerHealthCheck(w, faults)
+		return
+	}
 	size := totalTokens(r.Header.Get(p.protocol.tokens))
 	if p.cfg.Stage == "decode" && !p.reserve(size) {
 		p.refuse(w, http.StatusServiceUnavailable)
@@ -224,6 +237,14 @@
 	}
 }
 
+func (p *Replica) answerHealthCheck(w http.ResponseWriter, faults ReplicaFaults) {
+	if faults.Fail {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set(headerInstance, p.cfg.ID)
+}
+
 // writeEndlessly writes bytes that never form a complete response to an attempt until the connection is closed.
 func (p *Replica) writeEndlessly(w http.ResponseWriter, attempt string, faults ReplicaFaults) {
 	start := "HTTP/1.1 200 OK\r\nEndless: "
