--- a/integration/mortal_replica_test.go
+++ b/integration/mortal_replica_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,10 @@
 	service, addr string
 	// answer returns the start of an answer, without framing. A process that answers "" to a request refuses it.
 	answer func(process standin.Process, r *http.Request) string
+	// answersEarly has it answer before it has read the body of a request.
+	answersEarly bool
+	// beforeEnd is called before a process ends, after killDelay. It may be nil.
+	beforeEnd func()
 	// restart is called once a process has ended.
 	restart func(*mortalReplica)
 
@@ -94,6 +99,16 @@
 	m.listener, m.conns = nil, nil
 }
 
+// end kills the process in the middle of its answer, and has the next one start.
+func (m *mortalReplica) end() {
+	time.Sleep(killDelay)
+	if m.beforeEnd != nil {
+		m.beforeEnd()
+	}
+	m.kill()
+	m.restart(m)
+}
+
 // serve answers requests on a connection of a process. The first one that is answered ends the process.
 func (m *mortalReplica) serve(conn net.Conn, process standin.Process) {
 	defer conn.Close()
@@ -103,7 +118,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		if !m.answersEarly {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
 		own, answer := process.RawAnswer(r), ""
 		if own == "" {
 			answer = m.answer(process, r)
@@ -115,11 +132,20 @@
 			return
 		}
 		if answer != "" {
-			time.Sleep(killDelay)
-			m.kill()
-			m.restart(m)
+			go readSlowly(r.Body)
+			m.end()
+			return
+		}
+	}
+}
+
+// readSlowly reads a long body in more time than killDelay.
+func readSlowly(body io.Reader) {
+	for {
+		if _, err := io.CopyN(io.Discard, body, 64<<10); err != nil {
 			return
 		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
@@ -170,6 +196,21 @@
 		standin.HeaderSignature + ": by " + process.ID + "\r\nContent-Type: " + contentType + "\r\n\r\n" + body
 }
 
+// startOfAnswer returns the answers of a replica that answers one request with the start of a stream, or of a plain answer if there are no
+// events, and refuses all others.
+func startOfAnswer(events ...int) func(standin.Process, *http.Request) string {
+	var answered atomic.Bool
+	return func(process standin.Process, r *http.Request) string {
+		switch {
+		case answered.Swap(true):
+			return ""
+		case len(events) == 0:
+			return unframedStart(process, r, "text/plain", "the first half")
+		}
+		return unframedStart(process, r, "text/event-stream", eventsOf(r.Header.Get(standin.HeaderAttempt), events...))
+	}
+}
+
 // removeReplicas removes the entries of replicas and waits until VMs have noticed.
 func (s *site) removeReplicas(ids ...string) {
 	for _, id := range ids {
