--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/exchange"
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 // hang is a direct way that is cut silently, and refuse one on which connections are refused.
@@ -334,3 +335,32 @@
 	_, err = io.ReadAll(conn)
 	assert.Error(t, err)
 }
+
+// TestReplicaThatPeersFindEndedCountsAsAlive guards against an answer without framing that looks complete when its replica, which only peers
+// reach, is killed: nobody reaches it any more, and the direct way tells nothing.
+func TestReplicaThatPeersFindEndedCountsAsAlive(t *testing.T) {
+	for name, direct := range map[string]exchange.Dial{"hangs": hang, "is refused": refuse} {
+		t.Run("the direct way "+name, func(t *testing.T) {
+			for _, peers := range [][]*testPeer{
+				{newPeer(t, "a", refuse)},
+				{newPeer(t, "a", refuse), newPeer(t, "b", refuse), newPeer(t, "c", refuse)},
+				{newPeer(t, "a", hang), newPeer(t, "b", hang)},
+			} {
+				d, _ := newTestDialer(direct, peers...)
+				assert.True(t, transport.HasEnded(t.Context(), d.Dial, "127.0.0.1:1"), "%d peers", len(peers))
+			}
+		})
+	}
+	t.Run("the request is canceled", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.True(t, transport.HasEnded(ctx, exchange.DirectDial, newUpstream(t, echo)))
+	})
+	t.Run("alive behind peers", func(t *testing.T) {
+		d, _ := newTestDialer(hang, newPeer(t, "a", exchange.DirectDial))
+		addr := newUpstream(t, echo)
+		for range 3 {
+			assert.False(t, transport.HasEnded(t.Context(), d.Dial, addr))
+		}
+	})
+}
