gateway, exchange: the end of an unframed answer counts only if the process says so

Cause: the end was believed if the address accepted a connection 5 ms later. A supervisor that starts the replica at once, a proxy before it, or a VM that was stopped meanwhile makes the port accept.

Change: exchange.Request.ConfirmEnd is called once for such an end. The gateway asks the replica for its report, on a new connection, with Target-Instance, within 300 ms, one request at a time for each replica, and shares only checks that begin after the end. The same Born as on the list when the request was sent: whole. Another one, 421, a refusal, a reset, a 5xx that is not the replica's, or no answer: truncated. A replica whose report names no start (a plain service), and one whose entry names none: any answer of the ID counts, the best evidence there is. A request for a new connection no longer ends the kept ones. The native protocol keeps the old check.

Logged as unframed-end-checked, counted as unframed_ends_total{process}.

Evidence: the scenarios of TestEndOfAnEndedProcessCompletesAnAnswer fail with the old check (mutant address-confirms-an-end).

Cost: nothing for answers with a length or chunks; one report and one connection (which is kept for the next request) for an unframed end, instead of one connection and 5 ms.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -59,6 +60,9 @@
 	History *History
 	// OnRead is called with the number of bytes whenever a part of the response body has been read. It may be nil.
 	OnRead func(bytes int)
+	// ConfirmEnd is called once when a body that only its connection ends has ended in an orderly way. An error means that the body is
+	// truncated. If it is nil, the body is truncated if the upstream refuses connections after that.
+	ConfirmEnd func(ctx context.Context) error
 	// AcceptResponse reports whether a response with this header belongs to the request. Nil accepts every response.
 	AcceptResponse func(http.Header) bool
 }
@@ -131,7 +135,7 @@
 			continue
 		}
 		c.removeIdle(addr, i)
-		tooOld := maxIdleTime < 0 || maxIdleTime > 0 && now.Sub(candidate.idleSince) > maxIdleTime
+		tooOld := maxIdleTime > 0 && now.Sub(candidate.idleSince) > maxIdleTime
 		if now.Before(candidate.usableUntil) && !tooOld && candidate.healthy() {
 			return candidate
 		}
@@ -183,8 +187,10 @@
 
 // getConn returns an idle connection to addr, or opens a new one.
 func (c *Client) getConn(ctx context.Context, addr string, maxIdleTime time.Duration, history *History) (*conn, error) {
-	if idle := c.takeIdle(addr, maxIdleTime, history); idle != nil {
-		return idle, nil
+	if maxIdleTime >= 0 {
+		if idle := c.takeIdle(addr, maxIdleTime, history); idle != nil {
+			return idle, nil
+		}
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
@@ -229,11 +235,22 @@
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
 		Framing: framingOf(httpResp),
 		body:    httpResp.Body, onRead: r.OnRead, conn: connection, client: c, addr: addr, stop: stop, write: write,
-		cause: func(err error) error { return cause(ctx, err) }, hasEnded: func() bool { return transport.HasEnded(ctx, c.observedDial, addr) }}
+		cause: func(err error) error { return cause(ctx, err) }, confirmEnd: func() error { return c.confirmEnd(ctx, addr, r) }}
 	resp.keepAlive = !httpResp.Close && connection.applyKeepAlive(c.now(), httpResp.Header)
 	return resp, nil
 }
 
+// confirmEnd returns an error if a body without framing that has ended in an orderly way is truncated.
+func (c *Client) confirmEnd(ctx context.Context, addr string, r Request) error {
+	switch {
+	case r.ConfirmEnd != nil:
+		return r.ConfirmEnd(ctx)
+	case transport.HasEnded(ctx, c.observedDial, addr):
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // Refuses reports whether connections to addr are refused, which means that the process of the upstream has ended. It
 // returns false if no answer arrives in time.
 func (c *Client) Refuses(ctx context.Context, addr string) bool {
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -32,8 +32,10 @@
 	keepAlive bool
 	closed    bool
 	onRead    func(bytes int)
-	// hasEnded reports whether the process of the upstream has ended.
-	hasEnded func() bool
+	// confirmEnd returns an error if a body that has ended in an orderly way is truncated.
+	confirmEnd func() error
+	// endErr is set once a body that seemed to end turned out to be truncated.
+	endErr error
 	// cause replaces an error of the connection by the cancellation cause of the request's context, if it is done.
 	cause func(error) error
 }
@@ -97,12 +99,18 @@
 // Read reads the body. It returns io.EOF only after the complete body, and an *Error of kind ErrBroken if the body
 // is truncated.
 func (r *Response) Read(p []byte) (int, error) {
+	if r.endErr != nil {
+		return 0, r.endErr
+	}
 	n, err := r.body.Read(p)
 	if n > 0 && r.onRead != nil {
 		r.onRead(n)
 	}
-	if err == io.EOF && !r.sawEOF && r.Framing == FramedByConn && r.brokeOff() {
-		return n, r.TruncatedError()
+	if err == io.EOF && !r.sawEOF && r.Framing == FramedByConn {
+		r.endErr = r.checkEnd()
+	}
+	if r.endErr != nil {
+		return n, r.endErr
 	}
 	if err == io.EOF {
 		r.sawEOF = true
@@ -114,11 +122,17 @@
 	return n, nil
 }
 
-// brokeOff reports whether what looks like the end of a body without framing is where it broke off. An upstream that closes the connection
-// before it has read the request resets it, and the write may have met the reset; the kernel ends the connections of a killed process in an
-// orderly way.
-func (r *Response) brokeOff() bool {
-	return !r.write.succeedsWithin(writeEndDelay) || r.hasEnded()
+// checkEnd returns an error if what looks like the end of a body without framing is where it broke off. An upstream that closes the
+// connection before it has read the request resets it, and the write may have met the reset; the kernel ends the connections of a killed
+// process in an orderly way.
+func (r *Response) checkEnd() error {
+	if !r.write.succeedsWithin(writeEndDelay) {
+		return r.TruncatedError()
+	}
+	if err := r.confirmEnd(); err != nil {
+		return &Error{Op: "confirm end of answer of " + r.addr, Kind: ErrBroken, Err: err}
+	}
+	return nil
 }
 
 // TruncatedError returns the error for a body that turns out to be truncated although it ended with io.EOF.
--- a/gateway/list_feed.go
+++ b/gateway/list_feed.go
@@ -292,6 +292,8 @@
 		u.Removed = append(u.Removed, id)
 		return
 	}
+	// VMs of an older build name it only beside the replica.
+	entry.Replica.Born = entry.Born
 	u.Listed = append(u.Listed, entry.Replica)
 	u.versions[id] = EntryVersion{Born: entry.Born, Sequence: entry.Sequence}
 	if entry.ColdFor > 0 {
--- /dev/null
+++ b/gateway/process_checks_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cassiabridge/cassiabridge/exchange"
+	"github.com/cassiabridge/cassiabridge/peer"
+	"github.com/cassiabridge/cassiabridge/placement"
+)
+
+// newCheckingServer returns a Server whose replicas tell of their processes at /report.
+func newCheckingServer(t *testing.T) *Server {
+	t.Helper()
+	protocol := NativeProtocol()
+	protocol.ProcessRequest = func(replica string) (string, string, http.Header) {
+		return http.MethodGet, "/report", http.Header{NativeHeaders.Upstream: {replica}}
+	}
+	protocol.ParseProcess = func(body []byte) (born int64) {
+		_, _ = fmt.Sscanf(string(body), "born %d", &born)
+		return born
+	}
+	client, closeClient := exchange.NewClient()
+	t.Cleanup(closeClient)
+	return NewServer(NewController(peer.Identity{VM: "vm", Incarnation: "x"}, "zone"), protocol, client, func() float64 { return 0 }, 1<<20)
+}
+
+// startReporter starts a listener that answers each request without framing, and requests for /report with report, which may do anything
+// else. onAnswer is called before the connection of an answer ends.
+func startReporter(t *testing.T, onAnswer func(net.Listener), report func(conn net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		switch {
+		case err != nil:
+		case r.URL.Path == "/report":
+			report(conn)
+		default:
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n")
+			onAnswer(listener)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// say returns a report with a status and a body.
+func say(status int, body string, headers ...string) func(net.Conn) {
+	return func(conn net.Conn) {
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), strings.Join(headers, ""), body)
+	}
+}
+
+// TestEndOfAnEndedProcessCompletesAnAnswer guards against an answer without framing that is whole although the process that wrote it has
+// ended, or that is truncated although it lives.
+func TestEndOfAnEndedProcessCompletesAnAnswer(t *testing.T) {
+	t.Parallel()
+	lives := func(net.Listener) {}
+	reset := func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
+	for name, s := range map[string]struct {
+		known    int64
+		onAnswer func(net.Listener)
+		report   func(net.Conn)
+		whole    bool
+	}{
+		"the same process":                       {7, lives, say(200, "born 7"), true},
+		"killed and at once started again":       {7, lives, say(200, "born 8"), false},
+		"killed and not there":                   {7, func(l net.Listener) { l.Close() }, nil, false},
+		"another replica at the address":         {7, lives, say(421, ""), false},
+		"a proxy that resets":                    {7, lives, reset, false},
+		"a proxy that closes":                    {7, lives, func(net.Conn) {}, false},
+		"a proxy that answers itself":            {7, lives, say(502, "born 7"), false},
+		"no answer":                              {7, lives, func(net.Conn) { time.Sleep(5 * time.Second) }, false},
+		"an answer that breaks off":              {7, lives, func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nborn 7") }, false},
+		"an answer without framing":              {7, lives, func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nborn 7") }, true},
+		"a replica without reports":              {7, lives, say(400, "no id"), true},
+		"a replica without reports that is full": {7, lives, say(503, "", NativeHeaders.NotRun+": 1\r\n"), true},
+		"a process that the list does not name":  {0, lives, say(200, "born 8"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := newCheckingServer(t)
+			replica := placement.Replica{ID: "r", Address: startReporter(t, s.onAnswer, s.report), Born: s.known}
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			resp, err := server.upstreams.Do(ctx, replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
+				ConfirmEnd: server.endConfirmation(&request{}, replica)})
+			require.NoError(t, err)
+			defer resp.Close()
+			_, err = resp.ReadAll(1 << 10)
+			assert.Equal(t, s.whole, err == nil, "%v", err)
+			assert.NoError(t, ctx.Err(), "the check ends in its time")
+		})
+	}
+}
+
+// TestCheckThatBeganEarlierTellsOfAnEnd guards against a check of a process that began before the end for which it is asked, and against
+// many at a time.
+func TestCheckThatBeganEarlierTellsOfAnEnd(t *testing.T) {
+	t.Parallel()
+	var checks processChecks
+	var mu sync.Mutex
+	begun, atOnce := 0, 0
+	ask := func() processAnswer {
+		mu.Lock()
+		begun++
+		atOnce++
+		n, alone := begun, atOnce == 1
+		mu.Unlock()
+		assert.True(t, alone, "one at a time")
+		time.Sleep(2 * time.Millisecond)
+		mu.Lock()
+		atOnce--
+		mu.Unlock()
+		return processAnswer{born: int64(n)}
+	}
+	const callers = 200
+	var wg sync.WaitGroup
+	for n := range callers {
+		wg.Go(func() {
+			time.Sleep(time.Duration(n%20) * time.Millisecond)
+			mu.Lock()
+			before := begun
+			mu.Unlock()
+			check, start := checks.join("r")
+			if start {
+				go checks.run("r", ask)
+			}
+			<-check.done
+			assert.Greater(t, check.answer.born, int64(before), "the check began later")
+		})
+	}
+	wg.Wait()
+	assert.Less(t, begun, callers/2, "callers share checks")
+}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -86,6 +86,11 @@
 	// ParsePrefillResponse parses the body of a prefill response. It returns the handle of the result and the number of
 	// tokens that the engine prefilled.
 	ParsePrefillResponse func(body []byte) (handle string, tokens int, err error)
+	// ProcessRequest returns the method, target and headers of the request that asks the replica with an ID for its process, without a run.
+	// It is nil if there is none.
+	ProcessRequest func(replica string) (method, target string, h http.Header)
+	// ParseProcess returns when the process that answers a ProcessRequest started, as in the entries of the list, or 0 if it does not say.
+	ParseProcess func(body []byte) (born int64)
 	// FreeResult returns the method and target of the request that frees a prefill result.
 	FreeResult func(handle string) (method, target string)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -37,17 +37,18 @@
 
 // Server is the HTTP handler for requests of callers. It admits each request and forwards it to an upstream.
 type Server struct {
-	control    *Controller
-	protocol   Protocol
-	upstreams  *exchange.Client
-	log        *zap.Logger
-	metrics    *metrics.Gateway
-	random     func() float64
-	bodies     bodyMemory
-	inFlight   inFlight
-	workTimes  workTimes
-	stopping   stopping
-	numberings numberings
+	control       *Controller
+	protocol      Protocol
+	upstreams     *exchange.Client
+	log           *zap.Logger
+	metrics       *metrics.Gateway
+	random        func() float64
+	bodies        bodyMemory
+	inFlight      inFlight
+	workTimes     workTimes
+	stopping      stopping
+	numberings    numberings
+	processChecks processChecks
 	// endChecks joins simultaneous checks of the same replica.
 	endChecks singleflight.Group
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -192,7 +192,7 @@
 		r.state = r.state.WithSent()
 	}
 	sentAt := s.control.now()
-	resp, err := s.upstreams.Do(relay.WithRequest(ctx, r.info.Attempt), to.Address, s.upstreamRequest(r, hop))
+	resp, err := s.upstreams.Do(relay.WithRequest(ctx, r.info.Attempt), to.Address, s.upstreamRequest(r, to, hop))
 	result := exchangeResult{outcome: attempt.Answered, resp: resp, err: err}
 	var info ResponseInfo
 	if err == nil {
@@ -226,12 +226,13 @@
 }
 
 // upstreamRequest returns the request to send to an upstream, with the headers for hop. Responses that belong to
-// another attempt are not accepted.
-func (s *Server) upstreamRequest(r *request, hop Hop) exchange.Request {
+// another attempt are not accepted, and a body without framing is whole only if the process lives that was asked.
+func (s *Server) upstreamRequest(r *request, to placement.Replica, hop Hop) exchange.Request {
 	hop.Remaining = r.deadline.Sub(s.control.now())
 	header := s.protocol.ForwardHeaders(r.http.Header)
 	s.protocol.SetHopHeaders(header, hop)
 	req := exchange.Request{Method: r.http.Method, Target: r.target, Host: r.http.Host, Header: header, Body: r.body, History: &r.conns,
+		ConfirmEnd: s.endConfirmation(r, to),
 		AcceptResponse: func(h http.Header) bool {
 			attemptID := s.protocol.ReadResponseInfo(http.StatusOK, h).Attempt
 			return attemptID == r.info.Attempt || attemptID == "" && !s.protocol.NamesAttempts
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -23,6 +23,8 @@
 	Retries *prometheus.CounterVec
 	// UpstreamFailures counts failed upstream requests by pool and kind.
 	UpstreamFailures *prometheus.CounterVec
+	// ConfirmedEnds counts bodies without framing that ended in an orderly way, by what was found of the process that was asked.
+	ConfirmedEnds *prometheus.CounterVec
 	// MisplacedEvents counts events of streams that do not follow those before them, by pool and kind.
 	MisplacedEvents *prometheus.CounterVec
 	// Connections counts connections opened to upstreams.
@@ -63,6 +65,7 @@
 		WastedPrefillTokens: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "wasted_prefill_tokens_total", Help: "Prompt tokens read for nothing."}),
 		Retries:             newCounterVec("repeats_total", "Requests sent to a further upstream.", "pool"),
 		UpstreamFailures:    newCounterVec("upstream_failures_total", "Failed exchanges with upstreams.", "pool", "kind"),
+		ConfirmedEnds:       newCounterVec("unframed_ends_total", "Bodies without framing that seemed to end.", "process"),
 		MisplacedEvents:     newCounterVec("misplaced_events_total", "Events of streams that do not follow those before them.", "pool", "kind"),
 		Connections:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_total", Help: "Connections opened to upstreams."}),
 		RelayedConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_relayed_total", Help: "Connections to upstreams opened through other VMs."}),
@@ -76,7 +79,7 @@
 		StoreBytes:          newCounterVec("store_read_bytes_total", "Bytes of the store's answers.", "topic"),
 		LogLinesDropped:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that were left out."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures, m.MisplacedEvents,
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures, m.ConfirmedEnds, m.MisplacedEvents,
 		m.Connections, m.RelayedConnections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.PeerBytes, m.EventDelay, m.StoreBytes, m.LogLinesDropped)
 	return m
 }
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -42,6 +42,9 @@
 	Address string
 	Zone    string
 	Stage   Stage
+	// Born is when the replica's process started, in Unix milliseconds by its own clock, or 0 if that is not known. ID and address outlive
+	// the process.
+	Born int64 `json:",omitempty"`
 	// SoftwareVersion is the version of the software that the replica runs, with no order among versions, or empty.
 	SoftwareVersion string
 	// Slots is the number of requests that the replica processes concurrently.
