soak: plays the VMs, replicas and requests of a site file

Cause: the soak's site had four kinds of streams of its own and no plain answers; the users ran their sites.

An event must now equal what its replica writes to the byte.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -2,16 +2,17 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cassiabridge/cassiabridge/standin"
@@ -53,11 +54,21 @@
 	return &caller{n: n, site: s, results: r, rng: newRand(s.opts.Seed, fmt.Sprint("caller", n))}
 }
 
-// stream is one stream of a caller, in one or more attempts.
+// judge judges the answers to one request.
+type judge interface {
+	beginAnswer()
+	add(data []byte) (BreachKind, string)
+	end() BreachKind
+	state() string
+}
+
+// stream is one request of a caller, in one or more attempts.
 type stream struct {
-	route  route
-	prompt prompt
+	request request
+	prompt  prompt
 	*checker
+	// judge is the checker, but for plain answers.
+	judge judge
 	// attempts holds the IDs of all attempts, vms those that they were sent to, and origin the attempt that brought the first event.
 	attempts, vms []string
 	origin        string
@@ -79,15 +90,25 @@
 	defer c.disconnect()
 	for ctx.Err() == nil {
 		c.streams++
-		p := prompt{Name: fmt.Sprintf("c%d-%d", c.n, c.streams), Events: minEvents + c.rng.IntN(maxEvents-minEvents), Gap: time.Duration(c.rng.Int64N(int64(maxGap)))}
-		c.runStream(ctx, &stream{route: routes[c.rng.IntN(len(routes))], prompt: p, checker: newChecker(p)})
+		c.runStream(ctx, c.drawStream(fmt.Sprintf("c%d-%d", c.n, c.streams)))
+	}
+}
+
+// drawStream draws what is asked for next.
+func (c *caller) drawStream(name string) *stream {
+	r := c.site.opts.layout.drawRequest(c.rng)
+	if r.kind != streaming {
+		return &stream{request: r, checker: newChecker(prompt{Name: name}), judge: &plainChecker{name: name, size: r.bodyBytes.draw(c.rng)}}
 	}
+	p := prompt{Name: name, Events: r.pieces.draw(c.rng), EventBytes: r.pieceBytes.draw(c.rng), Gap: time.Duration(c.rng.Int64N(int64(maxGap)))}
+	checker := newChecker(p)
+	return &stream{request: r, prompt: p, checker: checker, judge: checker}
 }
 
 // runStream sends the attempts of a stream until it is complete, breaks a rule or is given up.
 func (c *caller) runStream(ctx context.Context, s *stream) {
 	end := broken
-	for end == broken && len(s.attempts) < maxAttempts && ctx.Err() == nil && (s.route.resumable || s.last == 0) {
+	for end == broken && len(s.attempts) < maxAttempts && ctx.Err() == nil && (s.request.resumable || s.last == 0) {
 		end = c.attempt(ctx, s)
 	}
 	c.results.update(func(r *Report) {
@@ -95,10 +116,12 @@
 		if s.last > 0 {
 			r.Streams++
 		}
-		switch end {
-		case complete:
+		switch {
+		case end == complete && s.request.kind != streaming:
+			r.Plain++
+		case end == complete:
 			r.Completed++
-		case broken:
+		case end == broken:
 			r.Abandoned++
 		}
 	})
@@ -134,14 +157,17 @@
 
 // send writes a request and reads the head of its answer.
 func (c *caller) send(s *stream, id string) (*http.Response, error) {
-	body := s.prompt.String()
-	r, err := http.NewRequest(http.MethodPost, "http://"+siteHost+s.route.prefix+s.name, bytes.NewReader([]byte(body)))
+	body, path := s.prompt.String(), s.request.prefix+s.name
+	if plain, ok := s.judge.(*plainChecker); ok {
+		body, path = "", s.request.prefix+plainPath(s.name, plain.size)
+	}
+	r, err := http.NewRequest(s.request.method, "http://"+siteHost+path, strings.NewReader(body))
 	if err != nil {
 		return nil, &Error{"create request", err}
 	}
-	r.Header = http.Header{
-		standin.HeaderAttempt: {id}, "Authorization": {"Bearer " + siteKey}, standin.HeaderTimeout: {"15000"},
-		"Model": {"m"}, standin.HeaderTokens: {"50,200"}, standin.HeaderParts: {"ab:50"},
+	r.Header = http.Header{standin.HeaderAttempt: {id}, "Authorization": {"Bearer " + siteKey}, standin.HeaderTimeout: {"15000"}}
+	if s.request.kind == streaming {
+		maps.Copy(r.Header, http.Header{"Model": {modelName}, standin.HeaderTokens: {fmt.Sprint(promptTokens, ",200")}, standin.HeaderParts: {fmt.Sprint("ab:", promptTokens)}})
 	}
 	if s.last > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
@@ -175,7 +201,7 @@
 
 // read reads and judges the body of a success.
 func (c *caller) read(s *stream, id string, resp *http.Response) outcome {
-	s.beginAnswer()
+	s.judge.beginAnswer()
 	before := s.last
 	buffer := make([]byte, callerBufferBytes)
 	var err error
@@ -183,7 +209,7 @@
 		var n int
 		_ = c.conn.SetDeadline(time.Now().Add(patience))
 		n, err = resp.Body.Read(buffer)
-		kind, detail := s.add(buffer[:n])
+		kind, detail := s.judge.add(buffer[:n])
 		if s.origin == "" && s.last > 0 {
 			s.origin = id
 		}
@@ -203,15 +229,15 @@
 	if resp.Close || unframed {
 		c.disconnect()
 	}
-	if kind := s.end(); kind != "" {
-		return c.breach(s, kind, fmt.Sprintf("after %d of %d of %s, length %d, coding %v, rest %q", s.last, s.events, s.name, resp.ContentLength, resp.TransferEncoding, s.pending))
+	if kind := s.judge.end(); kind != "" {
+		return c.breach(s, kind, fmt.Sprintf("%s, length %d, coding %v", s.judge.state(), resp.ContentLength, resp.TransferEncoding))
 	}
 	return complete
 }
 
 func (c *caller) breach(s *stream, kind BreachKind, detail string) outcome {
 	c.disconnect()
-	c.results.addBreach(Breach{Kind: kind, Route: s.route.prefix, Attempts: s.attempts, VMs: s.vms, Detail: detail})
+	c.results.addBreach(Breach{Kind: kind, Route: s.request.prefix, Attempts: s.attempts, VMs: s.vms, Detail: detail})
 	return wrong
 }
 
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -23,7 +23,8 @@
 	c := &caller{conn: conn, reader: bufio.NewReader(conn), results: newResults()}
 	resp, err := http.ReadResponse(c.reader, nil)
 	require.NoError(t, err)
-	end := c.read(&stream{checker: newChecker(prompt{Name: "c1-1", Events: 3})}, "c1-1-01", resp)
+	judge := newChecker(prompt{Name: "c1-1", Events: 3})
+	end := c.read(&stream{checker: judge, judge: judge}, "c1-1-01", resp)
 	var kinds []BreachKind
 	for _, b := range c.results.report(Options{}).Breaches {
 		kinds = append(kinds, b.Kind)
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -28,8 +28,8 @@
 
 // checker judges the events of one stream, which may come in several answers.
 type checker struct {
-	name   string
-	events int
+	name               string
+	events, eventBytes int
 	// last is the number of the last event, and version the software version that sent the first one.
 	last    int
 	version string
@@ -40,7 +40,7 @@
 }
 
 func newChecker(p prompt) *checker {
-	return &checker{name: p.Name, events: p.Events, seen: map[int]bool{}}
+	return &checker{name: p.Name, events: p.Events, eventBytes: p.EventBytes, seen: map[int]bool{}}
 }
 
 var (
@@ -63,7 +63,7 @@
 		text := c.pending[:n]
 		c.pending = c.pending[n:]
 		if kind := c.judge(text); kind != "" {
-			return kind, fmt.Sprintf("after %d of %d of %s (%s): %q", c.last, c.events, c.name, c.version, text)
+			return kind, fmt.Sprintf("%s (%s): %q", c.state(), c.version, text)
 		}
 	}
 }
@@ -91,6 +91,8 @@
 		return Damaged
 	case name != c.name:
 		return OtherRequest
+	case !bytes.Equal(text, event{name, version, number, c.eventBytes}.encode()):
+		return Damaged
 	case c.seen[number]:
 		return Twice
 	case number > c.last+1:
@@ -114,3 +116,8 @@
 	}
 	return ""
 }
+
+// state describes how far the stream has come.
+func (c *checker) state() string {
+	return fmt.Sprintf("after %d of %d of %s, rest %q", c.last, c.events, c.name, c.pending)
+}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -11,7 +11,7 @@
 func testEvents(numbers ...int) string {
 	var b strings.Builder
 	for _, n := range numbers {
-		b.Write(event{"c1-1", "v1", n}.encode())
+		b.Write(event{"c1-1", "v1", n, 0}.encode())
 	}
 	return b.String()
 }
@@ -46,9 +46,10 @@
 		{"begins with the last event", []string{testEvents(1, 2), testEvents(2, 3)}, Twice},
 		{"leaves one out", []string{testEvents(1), testEvents(3)}, Missing},
 		{"goes back", []string{testEvents(1, 0)}, OutOfOrder},
-		{"another version", []string{testEvents(1, 2), string(event{"c1-1", "v2", 3}.encode())}, JoinedVersions},
-		{"another stream", []string{string(event{"c2-1", "v1", 1}.encode())}, OtherRequest},
+		{"another version", []string{testEvents(1, 2), string(event{"c1-1", "v2", 3, 0}.encode())}, JoinedVersions},
+		{"another stream", []string{string(event{"c2-1", "v1", 1, 0}.encode())}, OtherRequest},
 		{"an event in an event", []string{"id: 1\ndata: c1-1 v1 " + testEvents(1)}, Damaged},
+		{"an event of another size", []string{string(event{"c1-1", "v1", 1, 3}.encode())}, Damaged},
 		{"ends early", []string{testEvents(1, 2)}, EndsEarly},
 		{"ends after a comment", []string{testEvents(1, 2) + ": comment\n"}, EndsEarly},
 		{"ends inside a comment", []string{testEvents(1, 2) + ": comment"}, EndsInside},
@@ -62,3 +63,29 @@
 		})
 	}
 }
+
+func TestPlainAnswersAreJudgedWhole(t *testing.T) {
+	body := string(plainBody("c1-1", 100))
+	scenarios := []struct {
+		name, body string
+		want       BreachKind
+	}{
+		{"whole", body, ""},
+		{"cut", body[:60], EndsEarly},
+		{"empty", "", EndsEarly},
+		{"longer", body + "c", Damaged},
+		{"of another request", string(plainBody("c2-1", 100)), Damaged},
+		{"a part is left out", body[:20] + body[40:], Damaged},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			c := &plainChecker{name: "c1-1", size: 100}
+			c.beginAnswer()
+			kind, _ := c.add([]byte(scenario.body))
+			if kind == "" {
+				kind = c.end()
+			}
+			assert.Equal(t, scenario.want, kind)
+		})
+	}
+}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -88,6 +88,9 @@
 	case actionUpgrade, actionRestart:
 		r.cfg.Version = otherVersion(r.cfg.Version)
 	}
+	if ctx.Err() != nil {
+		return nil
+	}
 	r.kill()
 	if f.action == actionGone {
 		sleep(ctx, entryExpiry)
@@ -100,6 +103,9 @@
 	if f.action != actionRestart {
 		sleep(ctx, cmp.Or(r.restartDelay, f.duration))
 	}
+	if ctx.Err() != nil {
+		return nil
+	}
 	return r.startAgain(ctx, old)
 }
 
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -232,6 +232,7 @@
 		_, err := io.WriteString(w, head(status, fields)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
 		return err == nil
 	}
+	signature := standin.HeaderSignature + ": by " + s.ID + "\r\n"
 	if target := r.Header.Get(standin.HeaderReplica); target != "" && target != s.ID {
 		return send(http.StatusMisdirectedRequest, notExecuted, "")
 	}
@@ -245,6 +246,13 @@
 	if s.Stage != "" && prefill != (s.Stage == "prefill") {
 		return send(http.StatusMisdirectedRequest, notExecuted, "")
 	}
+	if name, size, err := parsePlainPath(r.URL.Path); err == nil && body == "" {
+		answer := newPlainAnswer(s.replicaConfig, name, size, rng)
+		if _, err := io.WriteString(w, head(http.StatusOK, signature+answer.framingFields())+"\r\n"); err != nil {
+			return false
+		}
+		return answer.write(w, &atomic.Int64{}) == nil && answer.framing != untilClose
+	}
 	wanted, err := parsePrompt(body)
 	if err != nil {
 		return send(http.StatusBadRequest, notExecuted, err.Error())
@@ -259,7 +267,7 @@
 	run, end := s.startRun(r.Header.Get(standin.HeaderAttempt))
 	defer end()
 	answer := newStreamAnswer(s.replicaConfig, wanted, last, rng)
-	fields := standin.HeaderSignature + ": by " + s.ID + "\r\nContent-Type: text/event-stream\r\n" + answer.framingFields()
+	fields := signature + "Content-Type: text/event-stream\r\n" + answer.framingFields()
 	if s.Stage != "" {
 		fields += fmt.Sprintf("Weight-Versions: %d\r\n", weightVersion)
 	}
--- a/soak/report.go
+++ b/soak/report.go
@@ -30,6 +30,8 @@
 	Events int
 	// Streams is the number of streams of which at least one event came, Completed of those that came whole.
 	Streams, Completed int
+	// Plain is the number of plain answers that came whole.
+	Plain int
 	// Broken is the number of answers that broke off, and Resumed of those that went on with a stream whose caller had some events.
 	Broken, Resumed int
 	// Abandoned is the number of streams that their callers gave up.
--- a/soak/run/main.go
+++ b/soak/run/main.go
@@ -32,6 +32,7 @@
 	flag.BoolVar(&opts.Direct, "direct", false, "list replicas at their own addresses, without proxies and their faults of the network")
 	flag.DurationVar(&opts.RestartDelay, "restart", 0, "time after which an ended replica starts again; 0: that of the fault, up to 2.5s")
 	flag.BoolVar(&opts.WithoutResumes, "no-resumes", false, "callers resume with Last-Event-Id alone")
+	site := flag.String("site", "", "site file of the bench, in TOML, whose VMs, replicas and requests are played in place of -vms and -replicas")
 	binaries := flag.String("binary", "", "paths of the cassiabridge programs that VMs run in turn, separated by commas; empty: the program is built")
 	faults := flag.String("faults", soak.AllKinds.String(), "kinds of faults, separated by commas")
 	keep := flag.Bool("keep", false, "keep the logs of a run without breaches too")
@@ -40,6 +41,11 @@
 	if opts.Faults, err = soak.ParseKinds(*faults); err != nil {
 		return err
 	}
+	if *site != "" {
+		if opts, err = opts.WithSite(*site); err != nil {
+			return err
+		}
+	}
 	if opts.Dir, err = os.MkdirTemp("", "soak"); err != nil {
 		return err
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -31,20 +31,6 @@
 	storeHeaderTimeout = 10 * time.Second
 )
 
-// route is a route of the site.
-type route struct {
-	prefix, service string
-	resumable       bool
-}
-
-// routes holds a route of each kind for each service.
-var routes = []route{
-	{"/check/", engineService, true},
-	{"/review/", engineService, false},
-	{"/feed/", plainService, true},
-	{"/talk/", plainService, false},
-}
-
 // site holds the processes and stand-ins of a run.
 type site struct {
 	opts     Options
@@ -80,7 +66,7 @@
 		return s, stop, err
 	}
 	closers = append(closers, closeStore)
-	s.store.Configure(configuration())
+	s.store.Configure(opts.layout.configuration())
 	for n := range opts.Replicas {
 		r, closeReplica, err := startReplica(s, n, plan.unframed)
 		closers = append(closers, closeReplica)
@@ -113,20 +99,22 @@
 	return listener.Addr().String(), func() { server.Close() }, nil
 }
 
-func configuration() standin.Configuration {
+func (l *layout) configuration() standin.Configuration {
 	c := standin.Configuration{
 		Version: 1,
-		Services: []map[string]any{
-			{"name": engineService, "healthPath": healthPath, "maxConnections": 300,
-				"engine": map[string]any{"slots": 48, "kvCapacityTokens": 76160, "kvBytes": 163840, "kvRetentionS": 0.5, "stride": 1}},
-			{"name": plainService, "healthPath": healthPath, "maxConnections": 300},
-		},
 		Limits:  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		Tenants: []map[string]any{{"name": "schools", "apiKeys": []string{siteKey}, "unit": "token_count", "uncachedTokens": 200, "ratePerS": 1e9, "burst": 1e9}},
 	}
-	for _, r := range routes {
-		overrides := map[string]any{"resumable": r.resumable, "maxAttempts": 3, "timeoutMs": 20000}
-		c.Routes = append(c.Routes, standin.Route(r.prefix, siteHost, r.prefix, "streaming", r.service, overrides))
+	for _, s := range l.services {
+		fields := map[string]any{"name": s.Name, "healthPath": healthPath, "maxConnections": s.MaxConnections}
+		if s.Stride > 0 {
+			fields["engine"] = map[string]any{"slots": s.Slots, "kvCapacityTokens": s.CapacityTokens, "kvBytes": 163840, "kvRetentionS": 0.5, "stride": s.Stride}
+		}
+		c.Services = append(c.Services, fields)
+	}
+	for _, r := range l.requests {
+		overrides := map[string]any{"resumable": r.resumable, "maxAttempts": r.attempts, "timeoutMs": r.timeout.Milliseconds()}
+		c.Routes = append(c.Routes, standin.Route(r.prefix, siteHost, r.prefix, r.kind, r.service, overrides))
 	}
 	return c
 }
@@ -192,28 +180,23 @@
 	store        *standin.Store
 }
 
-// rolesOfReplicas holds the stages of replicas by number; an empty one is of the plain service.
-var rolesOfReplicas = []string{"prefill", "decode", "decode", ""}
-
 // softwareVersions are the versions of replicas that serve at once.
 var softwareVersions = [2]string{"v1", "v2"}
 
 // startReplica starts the n-th replica and its proxy. The returned function ends them; it is not nil in case of an error.
 func startReplica(s *site, n int, unframed bool) (*replica, func(), error) {
-	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: engineService, store: s.store, restartDelay: s.opts.RestartDelay}
+	places := s.opts.layout.places
+	at := places[n%len(places)]
+	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: at.service, store: s.store, restartDelay: s.opts.RestartDelay}
 	addrs, err := s.ports.addresses(2)
 	if err != nil {
 		return r, r.close, err
 	}
 	r.address = addrs[1]
-	roles := len(rolesOfReplicas)
-	r.cfg = replicaConfig{Stage: rolesOfReplicas[n%roles], Version: softwareVersions[0], Address: addrs[0], Seed: s.opts.Seed,
+	r.cfg = replicaConfig{Stage: at.stage, Version: softwareVersions[0], Address: addrs[0], Seed: s.opts.Seed,
 		Odd: odditiesOf(s.opts.Faults), Copies: s.opts.Faults.Has(Copies), Unframed: unframed}
-	if r.cfg.Stage == "" {
-		r.service = plainService
-	}
 	if s.opts.Faults.Has(Versions) {
-		r.cfg.Version = softwareVersions[(n/roles+n)%len(softwareVersions)]
+		r.cfg.Version = softwareVersions[(n/len(places)+n)%len(softwareVersions)]
 	}
 	closeProxy := func() {}
 	if s.opts.Direct {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,8 @@
 	RestartDelay time.Duration
 	// WithoutResumes has callers resume with Last-Event-Id alone.
 	WithoutResumes bool
+	// layout is what the site consists of, by default that of defaultLayout.
+	layout *layout
 	// Binaries holds the paths of the programs under test: the first VM runs the first one, and so on, and from the start again.
 	Binaries []string
 	// Dir is a folder for settings and logs.
@@ -58,6 +60,9 @@
 // Run runs a site with the faults of the plan and returns what its callers saw. It prints the plan and the log lines of the streams that
 // broke a rule to opts.Out.
 func Run(ctx context.Context, opts Options) (Report, error) {
+	if opts.layout == nil {
+		opts.layout = defaultLayout()
+	}
 	plan := NewPlan(opts)
 	s, stop, err := startSite(opts, plan)
 	defer stop()
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,23 +11,25 @@
 	"time"
 )
 
-// prompt is what a caller asks of a replica. It is the body of the request, in its String form.
+// prompt is what a caller asks of a replica. It is the body of the request, in its String form, but for plain answers.
 type prompt struct {
 	// Name identifies the stream.
 	Name string
-	// Events is the number of its events.
-	Events int
+	// Events is the number of its events, and EventBytes the size of their padding, or 0 where that depends on their number.
+	Events, EventBytes int
 	// Gap is the time between two writes of the replica.
 	Gap time.Duration
 }
 
 // String returns the body of a request.
-func (p prompt) String() string { return fmt.Sprintf("%s %d %s", p.Name, p.Events, p.Gap) }
+func (p prompt) String() string {
+	return fmt.Sprintf("%s %d %d %s", p.Name, p.Events, p.EventBytes, p.Gap)
+}
 
 func parsePrompt(text string) (prompt, error) {
 	var p prompt
 	var gap string
-	if _, err := fmt.Sscanf(text, "%s %d %s", &p.Name, &p.Events, &gap); err != nil {
+	if _, err := fmt.Sscanf(text, "%s %d %d %s", &p.Name, &p.Events, &p.EventBytes, &gap); err != nil {
 		return p, &Error{"parse prompt", err}
 	}
 	var err error
@@ -38,6 +41,8 @@
 type event struct {
 	name, version string
 	number        int
+	// padding is the size of the padding, or 0 where it depends on the number.
+	padding int
 }
 
 // maxPadding is the highest number of bytes that an event has beside what it says of itself.
@@ -49,7 +54,8 @@
 	if len(e.name)%2 == 0 {
 		end = "\r\n"
 	}
-	text := fmt.Sprintf("id: %d%sdata: %s %s %d %s%s%s", e.number, end, e.name, e.version, e.number, strings.Repeat("x", 1+e.number*7%maxPadding), end, end)
+	padding := strings.Repeat("x", cmp.Or(e.padding, 1+e.number*7%maxPadding))
+	text := fmt.Sprintf("id: %d%sdata: %s %s %d %s%s%s", e.number, end, e.name, e.version, e.number, padding, end, end)
 	if e.number%commentedEvents == 0 {
 		text = ": comment" + end + text
 	}
@@ -129,24 +135,29 @@
 
 // newStreamAnswer returns the answer of a replica to a request whose caller has the events up to number last.
 func newStreamAnswer(c replicaConfig, wanted prompt, last int, rng *rand.Rand) *streamAnswer {
-	a := &streamAnswer{gap: wanted.Gap, rng: rng}
-	switch {
-	case c.Unframed && rng.IntN(unframedShare) == 0:
-		a.framing = untilClose
-	case rng.IntN(lengthShare) == 0:
-		a.framing = byLength
-	}
+	a := &streamAnswer{gap: wanted.Gap, rng: rng, framing: drawFraming(c, rng, lengthShare)}
 	odd := regular
 	if len(c.Odd) > 0 && rng.IntN(oddShare) == 0 {
 		odd = c.Odd[rng.IntN(len(c.Odd))]
 	}
 	for n := firstNumber(odd, last, wanted.Events); n <= wanted.Events; n++ {
-		a.events = append(a.events, event{wanted.Name, c.Version, n}.encode())
+		a.events = append(a.events, event{wanted.Name, c.Version, n, wanted.EventBytes}.encode())
 	}
 	a.applyOddity(odd, last)
 	return a
 }
 
+// drawFraming draws how an answer ends. One in lengthShare has a length.
+func drawFraming(c replicaConfig, rng *rand.Rand, lengthShare int) framing {
+	switch {
+	case c.Unframed && rng.IntN(unframedShare) == 0:
+		return untilClose
+	case rng.IntN(lengthShare) == 0:
+		return byLength
+	}
+	return inChunks
+}
+
 // firstNumber returns the number of the first event of an answer. One that leaves an event out has another one after that.
 func firstNumber(odd oddity, last, events int) int {
 	switch {
