soak: releases, reuse of addresses, herds, and answers that break off

A request that reaches a replica of another service is answered with an event of no request, so that it shows as OtherRequest or Damaged.

--- a/soak/inject.go
+++ b/soak/inject.go
@@ -19,6 +19,10 @@
 	entryExpiry = 600 * time.Millisecond
 	// drainDelay is how long a replica serves after its entry says that it leaves.
 	drainDelay = 1500 * time.Millisecond
+	// reuseDelay is the time between the removal of a replica's entry and the next use of its address by another service.
+	reuseDelay = 2 * time.Second
+	// herdSpared is one in how many VMs a kill of most spares.
+	herdSpared = 3
 	// storeDelayMillis is the delay of answers of a slow store.
 	storeDelayMillis = 700
 )
@@ -43,6 +47,7 @@
 	for n, r := range s.replicas {
 		execute(replicaName(n), func(f step) { logError(r.apply(ctx, f)) })
 	}
+	execute(herdTarget, func(f step) { s.killHerd(ctx, f.duration) })
 	execute(storeTarget, func(f step) { applyToStore(ctx, s.store, f) })
 }
 
@@ -60,6 +65,8 @@
 }
 
 func (v *vm) apply(ctx context.Context, f step) error {
+	v.faulty.Lock()
+	defer v.faulty.Unlock()
 	switch f.action {
 	case actionPause:
 		v.pause(ctx, f.duration)
@@ -82,6 +89,8 @@
 	case actionResets:
 		r.signal(resetSignal)
 		return nil
+	case actionRelease:
+		return r.release(ctx)
 	case actionReplace:
 		r.putEntry("draining")
 		sleep(ctx, drainDelay)
@@ -97,6 +106,12 @@
 		r.store.PutReplica(old, nil)
 		return nil
 	}
+	if f.action == actionReuse {
+		sleep(ctx, entryExpiry)
+		r.store.PutReplica(old, nil)
+		sleep(ctx, reuseDelay)
+		r.takePlace(r.otherPlace())
+	}
 	if f.action != actionRestart && f.action != actionReborn {
 		r.nextID()
 	}
@@ -109,6 +124,42 @@
 	return r.startAgain(ctx, old)
 }
 
+// release starts a new process at the other address, and ends the one before it after a drain.
+func (r *replica) release(ctx context.Context) error {
+	old := *r
+	r.instance = r.instances[0]
+	if old.instance == r.instance {
+		r.instance = r.instances[1]
+	}
+	r.nextID()
+	if err := r.startAgain(ctx, r.cfg.ID); err != nil {
+		return err
+	}
+	old.putEntry("draining")
+	sleep(ctx, drainDelay)
+	old.kill()
+	sleep(ctx, entryExpiry)
+	r.store.PutReplica(old.cfg.ID, nil)
+	return nil
+}
+
+// killHerd kills most VMs at once, and starts them again after d.
+func (s *site) killHerd(ctx context.Context, d time.Duration) {
+	var wg sync.WaitGroup
+	for n, v := range s.vms {
+		if n%herdSpared == 0 || !v.faulty.TryLock() {
+			continue
+		}
+		wg.Go(func() {
+			defer v.faulty.Unlock()
+			v.end(syscall.SIGKILL)
+			sleep(ctx, d)
+			logError(v.run())
+		})
+	}
+	wg.Wait()
+}
+
 // startAgain starts a replica after its process has ended, and updates its entries a little later. The old ID is that of the process before.
 func (r *replica) startAgain(ctx context.Context, old string) error {
 	if err := r.run(); err != nil {
--- a/soak/layout.go
+++ b/soak/layout.go
@@ -89,6 +89,17 @@
 	return l.requests[len(l.requests)-1]
 }
 
+// prefixes returns the path prefixes of a service's routes.
+func (l *layout) prefixes(service string) []string {
+	var prefixes []string
+	for _, r := range l.requests {
+		if r.service == service {
+			prefixes = append(prefixes, r.prefix)
+		}
+	}
+	return prefixes
+}
+
 // siteFile is the part of a bench's site file that the soak plays.
 type siteFile struct {
 	Machines []struct{ Count int }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -46,6 +46,16 @@
 	Lengths Kind = "lengths"
 	// Copies has replicas send an answer again on its connection, at once or before the next answer.
 	Copies Kind = "copies"
+	// Breaks has replicas break answers off at any byte, in an orderly way or with a reset, but for orderly ends of unframed ones.
+	Breaks Kind = "breaks"
+	// Truncates has replicas end unframed answers in an orderly way between two events, and serve on.
+	Truncates Kind = "truncates"
+	// Releases replaces a replica by one at another address, which starts first.
+	Releases Kind = "releases"
+	// Reuse kills a replica and gives its address to one of another service.
+	Reuse Kind = "reuse"
+	// Herds kills most VMs at once.
+	Herds Kind = "herds"
 	// Unframed has some answers end with their connection.
 	Unframed Kind = "unframed"
 )
@@ -54,7 +64,7 @@
 type Kinds []Kind
 
 // AllKinds holds all kinds of faults.
-var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, Reborn, Gone, Resets, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Unframed}
+var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, Reborn, Gone, Resets, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Breaks, Truncates, Releases, Reuse, Herds, Unframed}
 
 // Has reports whether k is in the set.
 func (k Kinds) Has(kind Kind) bool { return slices.Contains(k, kind) }
@@ -96,6 +106,9 @@
 	actionReborn  action = "reborn"  // replica: as kill, with the same ID; the entry's sequence starts anew
 	actionGone    action = "gone"    // replica: SIGKILL; the entry goes a little later
 	actionResets  action = "resets"  // replica: resets all its connections
+	actionRelease action = "release" // replica: a new one starts at another address, then this one drains and ends
+	actionReuse   action = "reuse"   // replica: SIGKILL; one of another service starts at the address later
+	actionHerd    action = "herd"    // VMs: most get SIGKILL at once, and start again after the step's duration
 	actionDelay   action = "delay"   // store: late answers
 	actionSilence action = "silence" // store: no answers
 	actionDown    action = "down"    // store: closed connections
@@ -117,6 +130,8 @@
 	maxFaultDuration = 2500 * time.Millisecond
 	// storeTarget is the target of faults of the store.
 	storeTarget = "store"
+	// herdTarget is the target of faults of many VMs.
+	herdTarget = "herd"
 )
 
 // Plan holds the faults of a run.
@@ -145,6 +160,9 @@
 	if opts.Faults.Has(StoreFaults) {
 		p.add(storeTarget, []action{actionDelay, actionDelay, actionSilence, actionDown})
 	}
+	if opts.Faults.Has(Herds) {
+		p.add(herdTarget, []action{actionHerd})
+	}
 	slices.SortStableFunc(p.steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
@@ -173,6 +191,12 @@
 	if faults.Has(Resets) {
 		actions = append(actions, actionResets)
 	}
+	if faults.Has(Releases) {
+		actions = append(actions, actionRelease)
+	}
+	if faults.Has(Reuse) {
+		actions = append(actions, actionReuse)
+	}
 	return actions
 }
 
--- a/soak/ports.go
+++ b/soak/ports.go
@@ -10,7 +10,7 @@
 const (
 	firstPort     = 12_000
 	lastPort      = 20_000
-	portBlockSize = 100
+	portBlockSize = 200
 )
 
 // ports is a block of ports that one run uses. The first port is kept open, so that runs beside each other use different blocks.
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +33,8 @@
 	healthPath = "/health"
 	reportPath = "/api/report"
 	handlePath = "/api/kv-handle/"
+	// controlPrefix begins the paths of calls that concern the replica.
+	controlPrefix = "/api/"
 	// resetSignal has a replica reset its connections.
 	resetSignal = syscall.SIGUSR1
 	// modelName and weightVersion are those of all model replicas, kvTokens is the memory of each, and runPriority the rank of its runs.
@@ -44,6 +48,11 @@
 	promptTokens = 50
 	jsonType     = "Content-Type: application/json\r\n"
 	notExecuted  = "Not-Executed: 1\r\n"
+	// otherService is the body of an answer to a request of another service.
+	otherService = "id: 1\ndata: other-service v0 1 xxxxxxxx\n\n"
+	// breakShare is one in how many answers breaks off where that happens, and maxBreakBytes the highest number of bytes before that.
+	breakShare    = 25
+	maxBreakBytes = 8_000
 )
 
 // replicaConfig configures the process of a replica.
@@ -54,8 +63,10 @@
 	Born int64
 	// Odd holds how some answers disregard the protocol.
 	Odd []oddity
-	// Copies has some answers come twice. Unframed has some end with their connection.
-	Copies, Unframed bool
+	// Copies has some answers come twice, Breaks some break off, and Unframed some end with their connection.
+	Copies, Breaks, Unframed bool
+	// Prefixes holds the path prefixes of the service.
+	Prefixes []string
 }
 
 // ServeReplica serves as a replica and does not return if the arguments of the process ask for it. Each program that calls Run calls it
@@ -208,12 +219,47 @@
 			return
 		}
 		last.Reset()
-		if !s.answer(io.MultiWriter(conn, &last), r, string(body), rng) || !s.copyAnswer(conn, last.Bytes(), rng) {
+		if !s.answer(io.MultiWriter(s.breakable(conn, rng), &last), r, string(body), rng) || !s.copyAnswer(conn, last.Bytes(), rng) {
 			return
 		}
 	}
 }
 
+// breakable returns a writer of one answer, which breaks off where that is to happen.
+func (c replicaConfig) breakable(conn net.Conn, rng *rand.Rand) io.Writer {
+	if !c.Breaks || rng.IntN(breakShare) > 0 {
+		return conn
+	}
+	return &breakingWriter{conn: conn, remaining: rng.IntN(maxBreakBytes), orderly: rng.IntN(2) == 0}
+}
+
+// breakingWriter writes to a connection until no bytes are left, and ends it then.
+type breakingWriter struct {
+	conn      net.Conn
+	remaining int
+	orderly   bool
+	// unframed is whether an orderly end would complete the answer.
+	unframed bool
+}
+
+var errBroken = errors.New("the answer is to break off here")
+
+// Write implements io.Writer.
+func (w *breakingWriter) Write(data []byte) (int, error) {
+	if bytes.Contains(data, []byte(closeField)) {
+		w.unframed = true
+	}
+	if len(data) <= w.remaining {
+		w.remaining -= len(data)
+		return w.conn.Write(data)
+	}
+	_, _ = w.conn.Write(data[:w.remaining])
+	if w.unframed || !w.orderly {
+		reset(w.conn.(*net.TCPConn))
+	}
+	return 0, errBroken
+}
+
 // copyAnswer sends an answer again, if it is to come twice, and reports whether the connection can be used again.
 func (c replicaConfig) copyAnswer(conn net.Conn, answer []byte, rng *rand.Rand) bool {
 	if !c.Copies || rng.IntN(copyShare) > 0 {
@@ -246,6 +292,10 @@
 	if s.Stage != "" && prefill != (s.Stage == "prefill") {
 		return send(http.StatusMisdirectedRequest, notExecuted, "")
 	}
+	isOfPath := func(prefix string) bool { return strings.HasPrefix(r.URL.Path, prefix) }
+	if !isOfPath(controlPrefix) && !slices.ContainsFunc(s.Prefixes, isOfPath) {
+		return send(http.StatusOK, signature, otherService)
+	}
 	if name, size, err := parsePlainPath(r.URL.Path); err == nil && body == "" {
 		answer := newPlainAnswer(s.replicaConfig, name, size, rng)
 		if _, err := io.WriteString(w, head(http.StatusOK, signature+answer.framingFields())+"\r\n"); err != nil {
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -63,8 +64,50 @@
 
 func TestModelReplicaNamesItsWeights(t *testing.T) {
 	for stage, want := range map[string]string{"decode": "1", "": ""} {
-		s := newReplicaServer(replicaConfig{ID: "replica-1-1", Stage: stage})
+		s := newReplicaServer(replicaConfig{ID: "replica-1-1", Stage: stage, Prefixes: []string{"/check/"}})
 		resp := ask(t, s, http.MethodPost, "/check/c1-1", prompt{Name: "c1-1", Events: 2}.String(), http.Header{})
 		assert.Equal(t, want, resp.Header.Get("Weight-Versions"), stage)
 	}
 }
+
+func TestAnswerOfAnotherServiceIsABreach(t *testing.T) {
+	s := newReplicaServer(replicaConfig{ID: "replica-1-1", Prefixes: []string{"/desk/"}})
+	resp := ask(t, s, http.MethodPost, "/check/c1-1", prompt{Name: "c1-1", Events: 2}.String(), http.Header{})
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	kind, _ := newChecker(prompt{Name: "c1-1", Events: 2}).add(body)
+	assert.Equal(t, OtherRequest, kind)
+	plain := &plainChecker{name: "c1-1", size: 100}
+	plain.beginAnswer()
+	kind, _ = plain.add(body)
+	assert.Equal(t, Damaged, kind)
+}
+
+// TestUnframedAnswersBreakOffWithAReset guards against answers that break off and yet look whole.
+func TestUnframedAnswersBreakOffWithAReset(t *testing.T) {
+	for _, framing := range []string{closeField, "Transfer-Encoding: chunked\r\n"} {
+		conn, accepted := connect(t)
+		w := &breakingWriter{conn: accepted, remaining: 200, orderly: true}
+		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\n"+framing+"\r\n")
+		require.NoError(t, err)
+		_, err = w.Write(make([]byte, 300))
+		require.ErrorIs(t, err, errBroken)
+		accepted.Close()
+		_, err = io.ReadAll(conn)
+		assert.Equal(t, framing == closeField, err != nil, framing)
+	}
+}
+
+// connect returns both ends of a connection.
+func connect(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close(); accepted.Close() })
+	return conn, accepted
+}
--- a/soak/site.go
+++ b/soak/site.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -45,6 +46,8 @@
 	process
 	binary, settings   string
 	callers, readiness string
+	// faulty is locked while a fault is applied.
+	faulty sync.Mutex
 }
 
 // startSite starts the processes of a run. The returned function ends them; it is not nil in case of an error.
@@ -168,47 +171,90 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// replica is a replica as a process of its own, which is listed at the address of its proxy, if it has one.
-type replica struct {
+// instance is a process of a replica with its address.
+type instance struct {
 	process
-	cfg replicaConfig
-	// address is that of the entry, starts the number of starts, and sequence that of the entry.
-	address, service string
+	// listen is the address of the process, and address that in the entry: that of the proxy, if there is one.
+	listen, address string
+}
+
+// replica is a replica, whose current process is one of two instances.
+type replica struct {
+	*instance
+	instances [2]*instance
+	cfg       replicaConfig
+	service   string
+	// starts is the number of starts, and sequence that of the entry.
 	starts, sequence int
 	// restartDelay is the time between the end of a process and the next start, or 0 for that of the fault.
 	restartDelay time.Duration
 	store        *standin.Store
+	layout       *layout
 }
 
 // softwareVersions are the versions of replicas that serve at once.
 var softwareVersions = [2]string{"v1", "v2"}
 
-// startReplica starts the n-th replica and its proxy. The returned function ends them; it is not nil in case of an error.
+// startReplica starts the n-th replica and its proxies. The returned function ends them; it is not nil in case of an error.
 func startReplica(s *site, n int, unframed bool) (*replica, func(), error) {
-	places := s.opts.layout.places
-	at := places[n%len(places)]
-	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: at.service, store: s.store, restartDelay: s.opts.RestartDelay}
-	addrs, err := s.ports.addresses(2)
-	if err != nil {
-		return r, r.close, err
-	}
-	r.address = addrs[1]
-	r.cfg = replicaConfig{Stage: at.stage, Version: softwareVersions[0], Address: addrs[0], Seed: s.opts.Seed,
-		Odd: odditiesOf(s.opts.Faults), Copies: s.opts.Faults.Has(Copies), Unframed: unframed}
+	layout := s.opts.layout
+	r := &replica{store: s.store, layout: layout, restartDelay: s.opts.RestartDelay}
+	r.cfg = replicaConfig{Version: softwareVersions[0], Seed: s.opts.Seed, Odd: odditiesOf(s.opts.Faults), Copies: s.opts.Faults.Has(Copies),
+		Breaks: s.opts.Faults.Has(Breaks), Unframed: unframed}
+	r.takePlace(layout.places[n%len(layout.places)])
 	if s.opts.Faults.Has(Versions) {
-		r.cfg.Version = softwareVersions[(n/len(places)+n)%len(softwareVersions)]
+		r.cfg.Version = softwareVersions[(n/len(layout.places)+n)%len(softwareVersions)]
 	}
-	closeProxy := func() {}
-	if s.opts.Direct {
-		r.address = r.cfg.Address
-	} else if closeProxy, err = startProxy(r.address, r.cfg.Address, r.name, s.opts.Seed, s.opts.Faults.Has(Network)); err != nil {
-		return r, r.close, err
+	var closers []func()
+	stop := func() {
+		for _, c := range closers {
+			c()
+		}
+	}
+	for k := range r.instances {
+		i, closeInstance, err := newInstance(s, replicaName(n))
+		if err != nil {
+			return r, stop, err
+		}
+		r.instances[k], closers = i, append(closers, closeInstance)
 	}
+	r.instance = r.instances[0]
 	r.nextID()
-	if err = r.run(); err == nil {
+	err := r.run()
+	if err == nil {
 		r.putEntry("ready")
 	}
-	return r, func() { closeProxy(); r.close() }, err
+	return r, stop, err
+}
+
+// newInstance returns a process that is not started, and starts its proxy. The returned function ends both.
+func newInstance(s *site, name string) (*instance, func(), error) {
+	addrs, err := s.ports.addresses(2)
+	if err != nil {
+		return nil, nil, err
+	}
+	i := &instance{process: process{name: name, dir: s.opts.Dir}, listen: addrs[0], address: addrs[0]}
+	if s.opts.Direct {
+		return i, i.close, nil
+	}
+	i.address = addrs[1]
+	closeProxy, err := startProxy(i.address, i.listen, name, s.opts.Seed, s.opts.Faults.Has(Network))
+	return i, func() { closeProxy(); i.close() }, err
+}
+
+// takePlace has the next process serve another place.
+func (r *replica) takePlace(p place) {
+	r.service, r.cfg.Stage, r.cfg.Prefixes = p.service, p.stage, r.layout.prefixes(p.service)
+}
+
+// otherPlace returns a place of another service, or the present one if there is none.
+func (r *replica) otherPlace() place {
+	for _, p := range r.layout.places {
+		if p.service != r.service {
+			return p
+		}
+	}
+	return place{r.service, r.cfg.Stage}
 }
 
 func (r *replica) nextID() {
@@ -218,6 +264,7 @@
 
 // run starts the process with the current configuration.
 func (r *replica) run() error {
+	r.cfg.Address = r.listen
 	r.sequence, r.cfg.Born = 0, time.Now().UnixMilli()
 	cfg, err := json.Marshal(r.cfg)
 	if err != nil {
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -100,6 +100,8 @@
 	endsInside
 	// endsInsideByLength does so and announces the length.
 	endsInsideByLength
+	// truncatesUnframed ends in an orderly way between two events, where the answer has no framing.
+	truncatesUnframed
 	// repeatsLater sends an event twice.
 	repeatsLater
 )
@@ -122,6 +124,9 @@
 	if faults.Has(Lengths) {
 		odd = append(odd, endsInsideByLength)
 	}
+	if faults.Has(Truncates) {
+		odd = append(odd, truncatesUnframed)
+	}
 	return odd
 }
 
@@ -147,6 +152,9 @@
 	return a
 }
 
+// closeField is the header field of answers that end with their connection.
+const closeField = "Connection: close\r\n"
+
 // drawFraming draws how an answer ends. One in lengthShare has a length.
 func drawFraming(c replicaConfig, rng *rand.Rand, lengthShare int) framing {
 	switch {
@@ -184,6 +192,8 @@
 	case odd == endsInside && a.framing != byLength, odd == endsInsideByLength && a.framing == byLength:
 		a.events = a.events[:n+1]
 		a.events[n] = a.events[n][:1+a.rng.IntN(len("id: 1"))]
+	case odd == truncatesUnframed && a.framing == untilClose:
+		a.events = a.events[:n]
 	case odd == repeatsLater:
 		a.events = append(a.events[:n+1], a.events[n:]...)
 	}
@@ -194,7 +204,7 @@
 	case byLength:
 		return fmt.Sprintf("Content-Length: %d\r\n", len(bytes.Join(a.events, nil)))
 	case untilClose:
-		return "Connection: close\r\n"
+		return closeField
 	}
 	return "Transfer-Encoding: chunked\r\n"
 }
