--- a/soak/caller.go
+++ b/soak/caller.go
@@ -245,7 +245,7 @@
 func (c *caller) connect() error {
 	c.disconnect()
 	c.vm = c.rng.IntN(len(c.site.vms))
-	conn, err := net.DialTimeout("tcp", c.site.vms[c.vm].callers, dialTimeout)
+	conn, err := net.DialTimeout("tcp", c.site.vms[c.vm].entry, dialTimeout)
 	if err != nil {
 		return &Error{"connect", err}
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -50,16 +50,27 @@
 	name     string
 	seed     uint64
 	harmful  bool
+	// softens is whether a reset of one half is passed on as an orderly end, as simple forwarders do.
+	softens  bool
 	accepted atomic.Int64
 }
 
 // startProxy listens at an address and forwards to target. The returned function closes the listener.
 func startProxy(listen, target, name string, seed uint64, harmful bool) (func(), error) {
+	return (&proxy{target: target, name: name, seed: seed, harmful: harmful}).start(listen)
+}
+
+// startFront starts the forwarder between callers and a VM.
+func startFront(listen, target, name string) (func(), error) {
+	return (&proxy{target: target, name: name, softens: true}).start(listen)
+}
+
+func (p *proxy) start(listen string) (func(), error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, &Error{"start proxy", err}
 	}
-	p := &proxy{listener: listener, target: target, name: name, seed: seed, harmful: harmful}
+	p.listener = listener
 	go p.accept()
 	return func() { listener.Close() }, nil
 }
@@ -88,7 +99,7 @@
 	up := raw.(*net.TCPConn)
 	done := make(chan struct{}, 2)
 	for _, d := range []*direction{{from: up, to: down}, {from: down, to: up}} {
-		d.rng = newRand(p.seed, fmt.Sprint(p.name, n, d.to == down))
+		d.rng, d.softens = newRand(p.seed, fmt.Sprint(p.name, n, d.to == down)), p.softens
 		if p.harmful {
 			d.plan()
 		}
@@ -120,6 +131,7 @@
 	from, to *net.TCPConn
 	rng      *rand.Rand
 	split    bool
+	softens  bool
 	fault    linkFault
 	// remaining is the number of bytes before the fault.
 	remaining int
@@ -142,9 +154,9 @@
 		if n > 0 && !d.write(buffer[:n]) {
 			return
 		}
-		switch err {
-		case nil:
-		case io.EOF:
+		switch {
+		case err == nil:
+		case err == io.EOF, d.softens:
 			_ = d.to.CloseWrite()
 			return
 		default:
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -280,7 +280,7 @@
 	}
 	signature := standin.HeaderSignature + ": by " + s.ID + "\r\n"
 	if target := r.Header.Get(standin.HeaderReplica); target != "" && target != s.ID {
-		return send(http.StatusMisdirectedRequest, notExecuted, "")
+		return send(http.StatusMisdirectedRequest, notExecuted+"Instance-Id: "+s.ID+"\r\n", "")
 	}
 	switch {
 	case r.URL.Path == reportPath:
--- a/soak/run/main.go
+++ b/soak/run/main.go
@@ -30,6 +30,7 @@
 	flag.IntVar(&opts.Replicas, "replicas", 8, "number of replicas; of each four, one prefills, two decode and one is of a plain service")
 	flag.IntVar(&opts.Callers, "callers", 16, "number of concurrent callers")
 	flag.BoolVar(&opts.Direct, "direct", false, "list replicas at their own addresses, without proxies and their faults of the network")
+	flag.BoolVar(&opts.Fronts, "fronts", false, "put a forwarder before each VM, which passes a reset on as an orderly end")
 	flag.DurationVar(&opts.RestartDelay, "restart", 0, "time after which an ended replica starts again; 0: that of the fault, up to 2.5s")
 	flag.BoolVar(&opts.WithoutResumes, "no-resumes", false, "callers resume with Last-Event-Id alone")
 	site := flag.String("site", "", "site file of the bench, in TOML, whose VMs, replicas and requests are played in place of -vms and -replicas")
--- a/soak/site.go
+++ b/soak/site.go
@@ -46,6 +46,8 @@
 	process
 	binary, settings   string
 	callers, readiness string
+	// entry is the address for callers: that of the forwarder, if there is one.
+	entry string
 	// faulty is locked while a fault is applied.
 	faulty sync.Mutex
 }
@@ -88,6 +90,13 @@
 			return s, stop, err
 		}
 		s.vms = append(s.vms, v)
+		if opts.Fronts {
+			closeFront, err := v.addFront(s.ports)
+			if err != nil {
+				return s, stop, err
+			}
+			closers = append(closers, closeFront)
+		}
 	}
 	return s, stop, nil
 }
@@ -130,7 +139,7 @@
 		return nil, err
 	}
 	name := vmName(n)
-	v := &vm{process: process{name: name, dir: opts.Dir}, binary: opts.Binaries[n%len(opts.Binaries)], settings: filepath.Join(opts.Dir, name+".json"), callers: addrs[0], readiness: addrs[1]}
+	v := &vm{process: process{name: name, dir: opts.Dir}, binary: opts.Binaries[n%len(opts.Binaries)], settings: filepath.Join(opts.Dir, name+".json"), callers: addrs[0], entry: addrs[0], readiness: addrs[1]}
 	data, err := json.Marshal(map[string]any{
 		"VM": name, "AvailabilityZone": "zone-a",
 		"Listen":  map[string]any{"Callers": addrs[0], "Readiness": addrs[1], "Metrics": addrs[2], "Peers": addrs[3]},
@@ -146,6 +155,16 @@
 	return v, nil
 }
 
+// addFront starts the forwarder before a VM.
+func (v *vm) addFront(p *ports) (func(), error) {
+	addrs, err := p.addresses(1)
+	if err != nil {
+		return nil, err
+	}
+	v.entry = addrs[0]
+	return startFront(v.entry, v.callers, v.name)
+}
+
 func (v *vm) run() error { return v.start(v.binary, "serve", v.settings) }
 
 // awaitReady waits until all VMs are ready.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,8 @@
 	Faults Kinds
 	// Direct lists replicas at their own addresses, without proxies. Faults of the network are left out then.
 	Direct bool
+	// Fronts puts a forwarder before each VM, which passes a reset on as an orderly end.
+	Fronts bool
 	// RestartDelay is the time after which an ended replica starts again, or 0 for that of the fault.
 	RestartDelay time.Duration
 	// WithoutResumes has callers resume with Last-Event-Id alone.
