--- a/soak/site.go
+++ b/soak/site.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -31,20 +32,6 @@
 	storeHeaderTimeout = 10 * time.Second
 )
 
-// route is a route of the site.
-type route struct {
-	prefix, service string
-	resumable       bool
-}
-
-// routes holds a route of each kind for each service.
-var routes = []route{
-	{"/check/", engineService, true},
-	{"/review/", engineService, false},
-	{"/feed/", plainService, true},
-	{"/talk/", plainService, false},
-}
-
 // site holds the processes and stand-ins of a run.
 type site struct {
 	opts     Options
@@ -59,6 +46,10 @@
 	process
 	binary, settings   string
 	callers, readiness string
+	// entry is the address for callers: that of the forwarder, if there is one.
+	entry string
+	// faulty is locked while a fault is applied.
+	faulty sync.Mutex
 }
 
 // startSite starts the processes of a run. The returned function ends them; it is not nil in case of an error.
@@ -80,7 +71,7 @@
 		return s, stop, err
 	}
 	closers = append(closers, closeStore)
-	s.store.Configure(configuration())
+	s.store.Configure(opts.layout.configuration())
 	for n := range opts.Replicas {
 		r, closeReplica, err := startReplica(s, n, plan.unframed)
 		closers = append(closers, closeReplica)
@@ -99,6 +90,13 @@
 			return s, stop, err
 		}
 		s.vms = append(s.vms, v)
+		if opts.Fronts {
+			closeFront, err := v.addFront(s.ports)
+			if err != nil {
+				return s, stop, err
+			}
+			closers = append(closers, closeFront)
+		}
 	}
 	return s, stop, nil
 }
@@ -113,20 +111,22 @@
 	return listener.Addr().String(), func() { server.Close() }, nil
 }
 
-func configuration() standin.Configuration {
+func (l *layout) configuration() standin.Configuration {
 	c := standin.Configuration{
 		Version: 1,
-		Services: []map[string]any{
-			{"name": engineService, "healthPath": healthPath, "maxConnections": 300,
-				"engine": map[string]any{"slots": 48, "kvCapacityTokens": 76160, "kvBytes": 163840, "kvRetentionS": 0.5, "stride": 1}},
-			{"name": plainService, "healthPath": healthPath, "maxConnections": 300},
-		},
 		Limits:  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		Tenants: []map[string]any{{"name": "schools", "apiKeys": []string{siteKey}, "unit": "token_count", "uncachedTokens": 200, "ratePerS": 1e9, "burst": 1e9}},
 	}
-	for _, r := range routes {
-		overrides := map[string]any{"resumable": r.resumable, "maxAttempts": 3, "timeoutMs": 20000}
-		c.Routes = append(c.Routes, standin.Route(r.prefix, siteHost, r.prefix, "streaming", r.service, overrides))
+	for _, s := range l.services {
+		fields := map[string]any{"name": s.Name, "healthPath": healthPath, "maxConnections": s.MaxConnections}
+		if s.Stride > 0 {
+			fields["engine"] = map[string]any{"slots": s.Slots, "kvCapacityTokens": s.CapacityTokens, "kvBytes": 163840, "kvRetentionS": 0.5, "stride": s.Stride}
+		}
+		c.Services = append(c.Services, fields)
+	}
+	for _, r := range l.requests {
+		overrides := map[string]any{"resumable": r.resumable, "maxAttempts": r.attempts, "timeoutMs": r.timeout.Milliseconds()}
+		c.Routes = append(c.Routes, standin.Route(r.prefix, siteHost, r.prefix, r.kind, r.service, overrides))
 	}
 	return c
 }
@@ -139,7 +139,7 @@
 		return nil, err
 	}
 	name := vmName(n)
-	v := &vm{process: process{name: name, dir: opts.Dir}, binary: opts.Binaries[n%len(opts.Binaries)], settings: filepath.Join(opts.Dir, name+".json"), callers: addrs[0], readiness: addrs[1]}
+	v := &vm{process: process{name: name, dir: opts.Dir}, binary: opts.Binaries[n%len(opts.Binaries)], settings: filepath.Join(opts.Dir, name+".json"), callers: addrs[0], entry: addrs[0], readiness: addrs[1]}
 	data, err := json.Marshal(map[string]any{
 		"VM": name, "AvailabilityZone": "zone-a",
 		"Listen":  map[string]any{"Callers": addrs[0], "Readiness": addrs[1], "Metrics": addrs[2], "Peers": addrs[3]},
@@ -155,6 +155,16 @@
 	return v, nil
 }
 
+// addFront starts the forwarder before a VM.
+func (v *vm) addFront(p *ports) (func(), error) {
+	addrs, err := p.addresses(1)
+	if err != nil {
+		return nil, err
+	}
+	v.entry = addrs[0]
+	return startFront(v.entry, v.callers, v.name)
+}
+
 func (v *vm) run() error { return v.start(v.binary, "serve", v.settings) }
 
 // awaitReady waits until all VMs are ready.
@@ -180,52 +190,90 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// replica is a replica as a process of its own, which is listed at the address of its proxy, if it has one.
-type replica struct {
+// instance is a process of a replica with its address.
+type instance struct {
 	process
-	cfg replicaConfig
-	// address is that of the entry, starts the number of starts, and sequence that of the entry.
-	address, service string
+	// listen is the address of the process, and address that in the entry: that of the proxy, if there is one.
+	listen, address string
+}
+
+// replica is a replica, whose current process is one of two instances.
+type replica struct {
+	*instance
+	instances [2]*instance
+	cfg       replicaConfig
+	service   string
+	// starts is the number of starts, and sequence that of the entry.
 	starts, sequence int
 	// restartDelay is the time between the end of a process and the next start, or 0 for that of the fault.
 	restartDelay time.Duration
 	store        *standin.Store
+	layout       *layout
 }
 
-// rolesOfReplicas holds the stages of replicas by number; an empty one is of the plain service.
-var rolesOfReplicas = []string{"prefill", "decode", "decode", ""}
-
 // softwareVersions are the versions of replicas that serve at once.
 var softwareVersions = [2]string{"v1", "v2"}
 
-// startReplica starts the n-th replica and its proxy. The returned function ends them; it is not nil in case of an error.
+// startReplica starts the n-th replica and its proxies. The returned function ends them; it is not nil in case of an error.
 func startReplica(s *site, n int, unframed bool) (*replica, func(), error) {
-	r := &replica{process: process{name: replicaName(n), dir: s.opts.Dir}, service: engineService, store: s.store, restartDelay: s.opts.RestartDelay}
-	addrs, err := s.ports.addresses(2)
-	if err != nil {
-		return r, r.close, err
-	}
-	r.address = addrs[1]
-	roles := len(rolesOfReplicas)
-	r.cfg = replicaConfig{Stage: rolesOfReplicas[n%roles], Version: softwareVersions[0], Address: addrs[0], Seed: s.opts.Seed,
-		Odd: odditiesOf(s.opts.Faults), Copies: s.opts.Faults.Has(Copies), Unframed: unframed}
-	if r.cfg.Stage == "" {
-		r.service = plainService
-	}
+	layout := s.opts.layout
+	r := &replica{store: s.store, layout: layout, restartDelay: s.opts.RestartDelay}
+	r.cfg = replicaConfig{Version: softwareVersions[0], Seed: s.opts.Seed, Odd: odditiesOf(s.opts.Faults), Copies: s.opts.Faults.Has(Copies),
+		Breaks: s.opts.Faults.Has(Breaks), Unframed: unframed}
+	r.takePlace(layout.places[n%len(layout.places)])
 	if s.opts.Faults.Has(Versions) {
-		r.cfg.Version = softwareVersions[(n/roles+n)%len(softwareVersions)]
+		r.cfg.Version = softwareVersions[(n/len(layout.places)+n)%len(softwareVersions)]
 	}
-	closeProxy := func() {}
-	if s.opts.Direct {
-		r.address = r.cfg.Address
-	} else if closeProxy, err = startProxy(r.address, r.cfg.Address, r.name, s.opts.Seed, s.opts.Faults.Has(Network)); err != nil {
-		return r, r.close, err
+	var closers []func()
+	stop := func() {
+		for _, c := range closers {
+			c()
+		}
 	}
+	for k := range r.instances {
+		i, closeInstance, err := newInstance(s, replicaName(n))
+		if err != nil {
+			return r, stop, err
+		}
+		r.instances[k], closers = i, append(closers, closeInstance)
+	}
+	r.instance = r.instances[0]
 	r.nextID()
-	if err = r.run(); err == nil {
+	err := r.run()
+	if err == nil {
 		r.putEntry("ready")
 	}
-	return r, func() { closeProxy(); r.close() }, err
+	return r, stop, err
+}
+
+// newInstance returns a process that is not started, and starts its proxy. The returned function ends both.
+func newInstance(s *site, name string) (*instance, func(), error) {
+	addrs, err := s.ports.addresses(2)
+	if err != nil {
+		return nil, nil, err
+	}
+	i := &instance{process: process{name: name, dir: s.opts.Dir}, listen: addrs[0], address: addrs[0]}
+	if s.opts.Direct {
+		return i, i.close, nil
+	}
+	i.address = addrs[1]
+	closeProxy, err := startProxy(i.address, i.listen, name, s.opts.Seed, s.opts.Faults.Has(Network))
+	return i, func() { closeProxy(); i.close() }, err
+}
+
+// takePlace has the next process serve another place.
+func (r *replica) takePlace(p place) {
+	r.service, r.cfg.Stage, r.cfg.Prefixes = p.service, p.stage, r.layout.prefixes(p.service)
+}
+
+// otherPlace returns a place of another service, or the present one if there is none.
+func (r *replica) otherPlace() place {
+	for _, p := range r.layout.places {
+		if p.service != r.service {
+			return p
+		}
+	}
+	return place{r.service, r.cfg.Stage}
 }
 
 func (r *replica) nextID() {
@@ -235,6 +283,7 @@
 
 // run starts the process with the current configuration.
 func (r *replica) run() error {
+	r.cfg.Address = r.listen
 	r.sequence, r.cfg.Born = 0, time.Now().UnixMilli()
 	cfg, err := json.Marshal(r.cfg)
 	if err != nil {
