--- a/integration/mortal_replica_test.go
+++ b/integration/mortal_replica_test.go
@@ -28,8 +28,10 @@
 // mortalReplica is a replica whose process is killed in the middle of each answer: its connections end in an orderly way. What comes next
 // at its address is up to restart.
 type mortalReplica struct {
-	site          *site
+	t             testing.TB
 	service, addr string
+	// list sets the entry of an ID in the list of replicas, or removes it if the entry is nil.
+	list func(id string, entry any)
 	// answer returns the start of an answer, without framing. A process that answers "" to a request refuses it.
 	answer func(process standin.Process, r *http.Request) string
 	// answersEarly has it answer before it has read the body of a request.
@@ -47,14 +49,20 @@
 
 // startMortal starts the first process of a replica and lists it.
 func (s *site) startMortal(m *mortalReplica, id, stage string) *mortalReplica {
-	listener := listen(s.t)
-	m.site, m.addr = s, listener.Addr().String()
-	process := m.start(listener, id, stage)
-	s.t.Cleanup(m.kill)
-	s.listReplica(process, m.service, m.addr)
+	m.list = s.store.PutReplica
+	m.startFirst(s.t, id, stage)
 	return m
 }
 
+// startFirst starts the first process and lists it.
+func (m *mortalReplica) startFirst(t testing.TB, id, stage string) {
+	listener := listen(t)
+	m.t, m.addr = t, listener.Addr().String()
+	process := m.start(listener, id, stage)
+	t.Cleanup(m.kill)
+	m.list(id, process.Entry(m.service, m.addr))
+}
+
 // start starts a process on a listener.
 func (m *mortalReplica) start(listener net.Listener, id, stage string) standin.Process {
 	m.mu.Lock()
@@ -153,7 +161,7 @@
 func (m *mortalReplica) listenAgain() net.Listener {
 	time.Sleep(supervisorDelay)
 	listener, err := net.Listen("tcp", m.addr)
-	require.NoError(m.site.t, err)
+	require.NoError(m.t, err)
 	return listener
 }
 
@@ -164,9 +172,9 @@
 	m.mu.Unlock()
 	process := m.start(m.listenAgain(), before.ID+suffix, before.Stage)
 	time.Sleep(entryDelay)
-	m.site.listReplica(process, m.service, m.addr)
+	m.list(process.ID, process.Entry(m.service, m.addr))
 	if suffix != "" {
-		m.site.store.PutReplica(before.ID, nil)
+		m.list(before.ID, nil)
 	}
 }
 
@@ -179,7 +187,7 @@
 // leaveProxy has the proxy before the replica go on: it accepts connections and resets them.
 func (m *mortalReplica) leaveProxy() {
 	listener := m.listenAgain()
-	m.site.t.Cleanup(func() { listener.Close() })
+	m.t.Cleanup(func() { listener.Close() })
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -198,7 +198,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if isReport(r) {
+	if isReport(r) && !p.cfg.NativeProtocol {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = io.WriteString(w, p.process.report())
 		return
@@ -211,7 +211,7 @@
 		p.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
-	if isHealthCheck(r) {
+	if isHealthCheck(r) && !p.cfg.NativeProtocol {
 		p.answerHealthCheck(w, faults)
 		return
 	}
