transport: an upstream that resets further connections is alive

What callers saw: nothing yet; would have cut whole answers without framing of upstreams that have as many connections as they take.

Cause: such an upstream accepts a connection and resets it; if the reset comes before the dial returns, the dial fails with ECONNRESET, and takes every failed dial for an upstream that has ended. A port without a process refuses instead.

TestUpstreamWithEnoughConnectionsCountsAsEnded failed before (resets).

Measured: go test of transport and relay passes.

--- a/transport/ended.go
+++ b/transport/ended.go
@@ -31,7 +31,8 @@
 	}
 	conn, err := dial(ctx, "tcp", addr)
 	if err != nil {
-		return true
+		// A process that has enough connections accepts others and resets them.
+		return !errors.Is(err, syscall.ECONNRESET)
 	}
 	conn.Close()
 	return false
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,3 +45,30 @@
 	}
 	assert.LessOrEqual(t, <-sent, maxReadBytes)
 }
+
+// TestUpstreamWithEnoughConnectionsCountsAsEnded guards against a whole body that counts as truncated because its upstream resets further
+// connections.
+func TestUpstreamWithEnoughConnectionsCountsAsEnded(t *testing.T) {
+	for name, scenario := range map[string]struct {
+		err   error
+		ended bool
+	}{
+		"accepts":              {nil, false},
+		"resets":               {syscall.ECONNRESET, false},
+		"refuses":              {syscall.ECONNREFUSED, true},
+		"cannot be reached":    {syscall.EHOSTUNREACH, true},
+		"says nothing in time": {context.DeadlineExceeded, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				conn, other := net.Pipe()
+				other.Close()
+				if scenario.err != nil {
+					return nil, &net.OpError{Op: "dial", Err: scenario.err}
+				}
+				return conn, nil
+			}
+			assert.Equal(t, scenario.ended, HasEnded(t.Context(), dial, "upstream"))
+		})
+	}
+}
