service: a response ends together with the process that writes it

What callers saw: a part of a response of a plain service as the whole one, and recorded as the outcome of its operation, when the service's process was killed and a supervisor, another process or a proxy accepted connections at its address within 5 ms.

Cause: the end of a response without a length was believed if the address accepted another connection.

Change: a second connection to the upstream is opened as soon as the header of such a response has come. The kernel ends all connections of a killed process, so a response whose end comes together with the end of the other connection (opened before, ended at most 5 ms before) is in doubt; calls that may be repeated go to another upstream. A connection that is reset at once tells nothing: the upstream has enough.

Not done: to believe a response only if the other connection was open before its end. A connection that is opened before the call would stop upstreams that serve one connection after the other.

--- a/service/client.go
+++ b/service/client.go
@@ -123,18 +123,43 @@
 	if !transport.IsFinalStatus(resp.StatusCode) {
 		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: fmt.Errorf("the status line %q is no answer to a request", resp.Status)}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxResponseBytes+1))
+	body, err := c.readBody(ctx, upstream.Address, resp, write)
 	if err != nil {
 		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: err}
 	}
-	if int64(len(body)) > c.maxResponseBytes {
-		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: fmt.Errorf("response is longer than %d bytes", c.maxResponseBytes)}
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: isUnframed(resp)}, nil
+}
+
+// isUnframed reports whether only the end of the connection ends the body of a response.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// readBody reads the body of a response of the upstream at addr. An unframed one that may have broken off is an error.
+func (c *Client) readBody(ctx context.Context, addr string, resp *http.Response, write *transport.RequestWrite) ([]byte, error) {
+	if !isUnframed(resp) {
+		return c.readAll(resp.Body)
 	}
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	if unframed && (!write.Succeeded() || transport.HasEnded(ctx, (&net.Dialer{}).DialContext, upstream.Address)) {
-		return Response{}, &Error{Op: op, Kind: ErrInDoubt, Err: io.ErrUnexpectedEOF}
+	dial := (&net.Dialer{}).DialContext
+	liveness, closeLiveness := openLivenessConn(ctx, dial, addr)
+	defer closeLiveness()
+	body, err := c.readAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	endedAt := time.Now()
+	if !write.Succeeded() || transport.HasEnded(ctx, dial, addr) || liveness.endedWith(endedAt) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, nil
+}
+
+func (c *Client) readAll(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, c.maxResponseBytes+1))
+	if err == nil && int64(len(body)) > c.maxResponseBytes {
+		err = fmt.Errorf("response is longer than %d bytes", c.maxResponseBytes)
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unframed: unframed}, nil
+	return body, err
 }
 
 func transportErrorKind(err error) ErrorKind {
