service: failing test of a response that is cut right after its head

What callers see: a part of a response as the whole one, if the upstream is killed right after it has written the head and the part, and its address goes on accepting connections.

Cause: the second connection opens when the head arrives; by then the response has ended, and the process before cannot be told from the one that accepts.

--- a/service/liveness_test.go
+++ b/service/liveness_test.go
@@ -98,6 +98,12 @@
 	assertPartsAreTruncated(t, endsLater)
 }
 
+// TestResponseCutRightAfterItsHeadLooksComplete guards against the same if the upstream is killed before it can accept another connection.
+func TestResponseCutRightAfterItsHeadLooksComplete(t *testing.T) {
+	t.Parallel()
+	assertPartsAreTruncated(t, endsAtOnce)
+}
+
 // assertSoundResponses sends 1,000 calls and checks that their responses do not count as truncated.
 func assertSoundResponses(t *testing.T, candidates func() []resource.Upstream, parallel int) {
 	t.Helper()
