caller: a response without a length breaks off with a reset

What callers saw: a part of such a response of a plain service as the whole one, when the VM was killed, or closed its server at the end of its drain, while a slow caller read the response. The native interface writes it with neither a length nor chunks, so that the end of the connection completes it.

Cause: the connection ends in an orderly way unless it is set otherwise. Package gateway sets it; package caller did not.

Change: the connection ends with a reset until the whole body is written. The server of the callers' port makes connections known to requests by caller.WithConn (one line in app).

--- a/app/serve.go
+++ b/app/serve.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return runningServer{}, &Error{Op: "listen", Kind: "Failed", Err: err}
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(log)}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ConnContext: caller.WithConn, ErrorLog: zap.NewStdLog(log)}
 	failed := make(chan error, 1)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -5,11 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"net"
 	"net/http"
 
 	"github.com/cassiabridge/cassiabridge/control"
 	"github.com/cassiabridge/cassiabridge/resource"
 	"github.com/cassiabridge/cassiabridge/service"
+	"github.com/cassiabridge/cassiabridge/transport"
 )
 
 // forwardedHeaders lists the request headers that are forwarded to a service. All others are dropped.
@@ -55,7 +57,7 @@
 		return s.translateServiceError(r, err)
 	}
 	reservation.Close(float64(route.CostTokens))
-	writeResponse(w, response)
+	writeResponse(r.Context(), w, response)
 	return nil
 }
 
@@ -100,21 +102,46 @@
 	return &Error{Op: "forward", Kind: "upstream_failed", Status: http.StatusBadGateway, Run: InDoubt, Err: errors.New("the service gave no whole answer")}
 }
 
-func writeResponse(w http.ResponseWriter, response service.Response) {
+func writeResponse(ctx context.Context, w http.ResponseWriter, response service.Response) {
 	for name, values := range filterHeader(response.Header, returnedHeaders) {
 		w.Header()[name] = values
 	}
-	writeBody(w, response.Status, response.Body, response.Unframed)
+	writeBody(ctx, w, response.Status, response.Body, response.Unframed)
 }
 
 // writeBody writes the status and body of a response. An unframed body gets neither a length nor chunks: that would claim
-// that it is complete.
-func writeBody(w http.ResponseWriter, status int, body []byte, unframed bool) {
-	if unframed {
-		w.Header().Set("Transfer-Encoding", "identity")
+// that it is complete. Its connection ends with a reset until all of it is written, also if this process is killed.
+func writeBody(ctx context.Context, w http.ResponseWriter, status int, body []byte, unframed bool) {
+	if !unframed {
+		w.WriteHeader(status)
+		_, _ = w.Write(body)
+		return
 	}
+	w.Header().Set("Transfer-Encoding", "identity")
+	conn := connOf(ctx)
+	_ = transport.SetResetOnClose(conn, true)
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	_, err := w.Write(body)
+	if err == nil {
+		err = http.NewResponseController(w).Flush()
+	}
+	if err == nil {
+		_ = transport.SetResetOnClose(conn, false)
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// WithConn is the http.Server.ConnContext hook that the handler of a Server needs.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// connOf returns the connection of a request, or nil without WithConn.
+func connOf(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return conn
 }
 
 func hashRequest(r *request) string {
--- a/caller/operation.go
+++ b/caller/operation.go
@@ -65,7 +65,7 @@
 		return refusal
 	}
 	reservation.Close(float64(r.route.CostTokens))
-	writeResponse(w, response)
+	writeResponse(r.Context(), w, response)
 	return nil
 }
 
@@ -105,7 +105,7 @@
 	}
 	switch op.Phase {
 	case catalog.PhaseDone:
-		replayResponse(w, op.Answer)
+		replayResponse(r.Context(), w, op.Answer)
 		return 0, nil
 	case catalog.PhaseNotRun:
 		return op.Attempt + 1, nil
@@ -113,10 +113,10 @@
 	return 0, inDoubtError("repeat", "the call was begun before and may or may not have run; repeat it later to learn its outcome")
 }
 
-func replayResponse(w http.ResponseWriter, answer catalog.Answer) {
+func replayResponse(ctx context.Context, w http.ResponseWriter, answer catalog.Answer) {
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.Header().Set("Idempotent-Replayed", "true")
-	writeBody(w, answer.Status, answer.Body, answer.Unframed)
+	writeBody(ctx, w, answer.Status, answer.Body, answer.Unframed)
 }
 
 // currentOperation reads the log up to its head and returns the operation as it is there: its end may have been recorded, and
