gateway: a full replica's sound answers are not taken for cut ones

Callers saw sound answers without framing break off, when their replica was full: it resets connections beyond its limit, and the check of its process asked once, on a new connection only.

An answer on a kept connection tells more: the process that accepted it lives. The check uses one if there is one, and asks again every 20 ms, up to 300 ms, unless connections are refused.

--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -20,8 +20,8 @@
 	processCheckTimeout = 300 * time.Millisecond
 	// maxReportBytes bounds what a replica says of itself.
 	maxReportBytes = 64 << 10
-	// newConn is an exchange.Request.MaxIdle that allows new connections only.
-	newConn = -1
+	// processCheckPause is the time between two tries of one check. A replica that has enough connections resets further ones.
+	processCheckPause = 20 * time.Millisecond
 )
 
 // processState is what is found of the process of a replica.
@@ -139,12 +139,28 @@
 	}
 }
 
-// askForProcess asks a replica for its process on a new connection: a kept one may lead to a process that has not ended its connections yet.
+// askForProcess asks a replica for its process until there is an answer, connections are refused or processCheckTimeout has passed.
 func (s *Server) askForProcess(replica placement.Replica) processAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), processCheckTimeout)
 	defer cancel()
+	for {
+		answer := s.tryToAskForProcess(ctx, replica)
+		if answer.err == nil || errors.Is(answer.err, syscall.ECONNREFUSED) {
+			return answer
+		}
+		select {
+		case <-ctx.Done():
+			return answer
+		case <-time.After(processCheckPause):
+		}
+	}
+}
+
+// tryToAskForProcess asks a replica for its process once. The connection may be a kept one: an answer on it tells that the process which
+// accepted it lives.
+func (s *Server) tryToAskForProcess(ctx context.Context, replica placement.Replica) processAnswer {
 	method, target, header := s.protocol.ProcessRequest(replica.ID)
-	resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: method, Target: target, Host: replica.Address, Header: header, MaxIdle: newConn,
+	resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: method, Target: target, Host: replica.Address, Header: header,
 		ConfirmEnd: func(context.Context) error { return nil }})
 	if err != nil {
 		return processAnswer{err: err}
