--- a/soak/inject.go
+++ b/soak/inject.go
@@ -91,6 +91,9 @@
 		return nil
 	case actionRelease:
 		return r.release(ctx)
+	case actionDark:
+		r.signal(syscall.SIGSTOP)
+		sleep(ctx, f.duration)
 	case actionReplace:
 		r.putEntry("draining")
 		sleep(ctx, drainDelay)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,6 +30,8 @@
 	Reborn Kind = "reborn"
 	// Gone kills a share of the replicas, which do not come back.
 	Gone Kind = "gone"
+	// Dark has replicas fall silent, and kills them later.
+	Dark Kind = "dark"
 	// Resets has replicas reset all their connections and serve on.
 	Resets Kind = "resets"
 	// StoreFaults has the store answer late, not at all or with closed connections.
@@ -64,7 +66,7 @@
 type Kinds []Kind
 
 // AllKinds holds all kinds of faults.
-var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, Reborn, Gone, Resets, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Breaks, Truncates, Releases, Reuse, Herds, Unframed}
+var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, Reborn, Gone, Dark, Resets, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Breaks, Truncates, Releases, Reuse, Herds, Unframed}
 
 // Has reports whether k is in the set.
 func (k Kinds) Has(kind Kind) bool { return slices.Contains(k, kind) }
@@ -105,6 +107,7 @@
 	actionRestart action = "restart" // replica: as upgrade, with the same ID and an entry that changes later
 	actionReborn  action = "reborn"  // replica: as kill, with the same ID; the entry's sequence starts anew
 	actionGone    action = "gone"    // replica: SIGKILL; the entry goes a little later
+	actionDark    action = "dark"    // replica: SIGSTOP, and as kill after the step's duration
 	actionResets  action = "resets"  // replica: resets all its connections
 	actionRelease action = "release" // replica: a new one starts at another address, then this one drains and ends
 	actionReuse   action = "reuse"   // replica: SIGKILL; one of another service starts at the address later
@@ -191,6 +194,9 @@
 	if faults.Has(Resets) {
 		actions = append(actions, actionResets)
 	}
+	if faults.Has(Dark) {
+		actions = append(actions, actionDark)
+	}
 	if faults.Has(Releases) {
 		actions = append(actions, actionRelease)
 	}
