--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -44,7 +44,7 @@
 	require.NoError(t, os.WriteFile(p.settingsPath, data, 0o600))
 }
 
-// start starts the process, which is killed when the test ends. The end of its log is printed if the test fails.
+// start starts the process, which is killed when the test or the process of the tests ends. The end of its log is printed if the test fails.
 func (p *process) start(t testing.TB) {
 	t.Helper()
 	output, err := os.CreateTemp(t.TempDir(), p.name)
@@ -55,6 +55,7 @@
 	if p.stdout != nil {
 		p.cmd.Stdout, p.cmd.Stderr = p.stdout, p.stdout
 	}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(t, p.cmd.Start())
 	cmd := p.cmd
 	t.Cleanup(func() {
