caller: a whole response keeps its length on its way to an HTTP/1.0 caller

What callers saw: a part of a response of a plain service as the whole one, by HTTP/1.0, when the VM was killed or stopped while a slow caller read it.

Cause: the length of the service's response is not passed on, and a body that is too long for the server's buffer goes on in chunks, or, to a caller who takes none, with the end of its connection as its only end.

Evidence: TestWholeResponseCutOnItsWayToAnHTTP10Caller failed before: 4,011,935 of 67,108,864 bytes, and an orderly end.

Change: the body is known when it is written, so its length is stated.

Measured: go test -count=3 of caller passes; the tests of operations, keys, stops, completions and framing in integration pass.

--- a/caller/forward.go
+++ b/caller/forward.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/cassiabridge/cassiabridge/control"
 	"github.com/cassiabridge/cassiabridge/resource"
@@ -113,6 +114,9 @@
 // that it is complete. Its connection ends with a reset until all of it is written, also if this process is killed.
 func writeBody(ctx context.Context, w http.ResponseWriter, status int, body []byte, unframed bool) {
 	if !unframed {
+		if len(body) > 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
 		w.WriteHeader(status)
 		_, _ = w.Write(body)
 		return
--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -1,10 +1,12 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,13 +14,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// requestUnframed requests a body that only its connection ends, and returns the connection once the body has begun.
-func requestUnframed(t *testing.T, body []byte) (*http.Server, net.Conn) {
+// requestBody requests a body by a version of HTTP, and returns the connection once the response has begun.
+func requestBody(t *testing.T, version string, body []byte, unframed bool) (*http.Server, net.Conn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{ConnContext: WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeBody(r.Context(), w, http.StatusOK, body, true)
+		writeBody(r.Context(), w, http.StatusOK, body, unframed)
 	})}
 	t.Cleanup(func() { server.Close() })
 	go func() { _ = server.Serve(listener) }()
@@ -26,7 +28,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { conn.Close() })
 	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
-	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, err = io.WriteString(conn, "GET / "+version+"\r\nHost: a\r\n\r\n")
 	require.NoError(t, err)
 	_, err = conn.Read(make([]byte, 1))
 	require.NoError(t, err)
@@ -38,7 +40,7 @@
 func TestUnframedResponseOfAStoppedVMLooksComplete(t *testing.T) {
 	body := bytes.Repeat([]byte("x"), 64<<20)
 	t.Run("stopped", func(t *testing.T) {
-		server, conn := requestUnframed(t, body)
+		server, conn := requestBody(t, "HTTP/1.1", body, true)
 		time.Sleep(50 * time.Millisecond)
 		server.Close()
 		n, err := io.Copy(io.Discard, conn)
@@ -47,7 +49,7 @@
 	})
 	for name, whole := range map[string][]byte{"long": body, "short": []byte("x"), "empty": nil} {
 		t.Run("whole, "+name, func(t *testing.T) {
-			_, conn := requestUnframed(t, whole)
+			_, conn := requestBody(t, "HTTP/1.1", whole, true)
 			time.Sleep(50 * time.Millisecond)
 			data, err := io.ReadAll(conn)
 			assert.NoError(t, err)
@@ -56,3 +58,18 @@
 		})
 	}
 }
+
+// TestWholeResponseCutOnItsWayToAnHTTP10Caller guards against a response that loses its framing on its way to a caller who takes no chunks,
+// and that looks complete when it is cut.
+func TestWholeResponseCutOnItsWayToAnHTTP10Caller(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 64<<20)
+	server, conn := requestBody(t, "HTTP/1.0", body, false)
+	time.Sleep(50 * time.Millisecond)
+	server.Close()
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader("H"), conn)), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.Less(t, n, int64(len(body)))
+	assert.Error(t, err, "%d of %d bytes look complete", n, len(body))
+}
