gateway: a stream goes on only at the process that its replica's entry names

Cause: a replica was known by ID and address. Only a refused connection told that its process had ended; behind a proxy connections are accepted and reset.

Change: after a broken run the replica is asked for its process, as at unframed ends. Another Born, another replica, a refusal or no answer puts its version in doubt; a silent one is asked again every second, for 10 s at most, and the doubt ends when the listed process answers. If another process is found, streams that began in the 3 s before count as of an unknown version. An answer that goes on with a stream, for this VM or for a caller that resumes, counts once the process of the entry has been found to live after the answer began, or is discarded before its caller sees it. When an entry is renewed with another version, the streams that began at the replica in the 3 s before are of an unknown one, also for peers.

The calls of Begin in the tests of resumption name a replica; nothing else of them changed.

Cost: one report for each broken run (before, one connection), for each answer that goes on with a stream, and for each second of silence of a replica after a broken run.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -1,34 +1,114 @@
 package gateway
 
 import (
+	"context"
 	"errors"
+	"net/http"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/resumption"
 )
 
 // doubtedVersion is the software version of streams of which it is not known. No replica has it, so they are not resumed.
 const doubtedVersion = "?"
 
+const (
+	// silentCheckInterval is how often a replica that did not answer is asked for its process again, and maxSilentChecks how many times.
+	// Together they last as long as the doubt about its software version.
+	silentCheckInterval = time.Second
+	maxSilentChecks     = 10
+)
+
 // noteRefusal marks a replica as ended if an error means that connections to it are refused.
 func (s *Server) noteRefusal(replica placement.Replica, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.control.markEnded(replica)
+		s.recordProcess(replica, processRefuses)
+	}
+}
+
+// recordProcess records what was found of the process of a replica. One that did not answer is asked again: the way to it may have been
+// lost only.
+func (s *Server) recordProcess(replica placement.Replica, state processState) {
+	s.control.recordProcess(replica, state, func() {
+		if state == processSilent {
+			go s.askSilentReplica(replica)
+		}
+	})
+}
+
+// askSilentReplica asks a replica for its process until it answers.
+func (s *Server) askSilentReplica(replica placement.Replica) {
+	for range maxSilentChecks {
+		time.Sleep(silentCheckInterval)
+		state := s.checkProcess(context.Background(), replica).stateOf(replica.Born)
+		if state != processSilent {
+			s.control.recordProcess(replica, state, func() {})
+			return
+		}
 	}
 }
 
-// markEnded records that the process of a replica has ended.
-func (c *Controller) markEnded(replica placement.Replica) {
+// recordProcess records what was found of the process of a replica. onDoubt is called if its software version is in doubt only since then.
+func (c *Controller) recordProcess(replica placement.Replica, state processState, onDoubt func()) {
 	c.post(func() {
-		c.scheduler.MarkEnded(c.now(), replica.ID)
-		c.log.Info("replica-ended", zap.String("Replica", replica.ID), zap.String("Address", replica.Address), zap.String("SoftwareVersion", replica.SoftwareVersion))
+		listed, exists := c.scheduler.Replica(replica.ID)
+		switch {
+		case !exists || listed.Born != replica.Born:
+			// The entry has been renewed since.
+		case state == processLives:
+			c.scheduler.MarkLiving(replica.ID)
+		case !state.confirmsEnd():
+			c.recordEndedProcess(replica, state, onDoubt)
+		}
 	})
 }
 
+// recordEndedProcess is recordProcess for the control goroutine and a process that does not live or did not answer.
+func (c *Controller) recordEndedProcess(replica placement.Replica, state processState, onDoubt func()) {
+	now := c.now()
+	doubted := c.scheduler.MarkEnded(now, replica.ID)
+	if state == processRestarted {
+		c.scheduler.MarkRestarted(now, replica.ID)
+	}
+	if !doubted {
+		return
+	}
+	c.log.Info("replica-ended", zap.String("Replica", replica.ID), zap.String("Process", string(state)), zap.String("Address", replica.Address), zap.String("SoftwareVersion", replica.SoftwareVersion))
+	onDoubt()
+}
+
 // isVersionDoubted reports whether the software version of a replica was in doubt when an answer of it began.
 func (c *Controller) isVersionDoubted(id string, answerBeganAt time.Time) bool {
 	return ask(c, func() bool { return c.scheduler.VersionDoubted(c.now(), id, answerBeganAt) })
 }
+
+// doubtRecentStreams records that the entry of a replica names another software version: the streams that have begun there lately may be of
+// either.
+func (c *Controller) doubtRecentStreams(now time.Time, old placement.Replica) {
+	since := c.scheduler.MarkVersionChanged(now, old.ID)
+	streams := c.streams.Reassign(now, old.ID, since, resumption.Origin{Pool: old.Pool, Version: doubtedVersion})
+	c.log.Info("replica-version-changed", zap.String("Replica", old.ID), zap.String("SoftwareVersion", old.SoftwareVersion), zap.Int("Streams", streams))
+}
+
+// errVersionUnconfirmed means that an answer may be of another process, with another software version, than the one that was asked.
+var errVersionUnconfirmed = errors.New("the process that answers may have another software version")
+
+// confirmVersion returns an error if a request that is held to a software version may be answered by another process than the one on the
+// list. It asks after the answer has begun: the process that lives then has answered.
+func (s *Server) confirmVersion(ctx context.Context, r *request, to placement.Replica, resp *exchange.Response) error {
+	if !r.versions.Limited || resp.Status != http.StatusOK || s.protocol.ProcessRequest == nil {
+		return nil
+	}
+	state := s.checkProcess(ctx, to).stateOf(to.Born)
+	if state.confirmsEnd() {
+		return nil
+	}
+	s.log.Info("version-not-confirmed", zap.String("Request", r.info.Attempt), zap.String("Replica", to.ID), zap.String("Process", string(state)), zap.String("SoftwareVersion", to.SoftwareVersion))
+	s.recordProcess(to, state)
+	return errVersionUnconfirmed
+}
--- a/gateway/ended_replicas.go
+++ b/gateway/ended_replicas.go
@@ -12,9 +12,6 @@
 	"github.com/cassiabridge/cassiabridge/quarantine"
 )
 
-// endCheckTimeout bounds the check whether a replica has ended, for which a request that is sent again waits.
-const endCheckTimeout = 100 * time.Millisecond
-
 // isBroken reports whether a request ended because the response of its upstream broke off.
 func isBroken(reqErr *Error) bool {
 	if reqErr == nil {
@@ -59,18 +56,12 @@
 // unless the answer had lasted. A broken connection alone does not: links and connections fail too.
 func (s *Server) recordBroken(r *request, replica placement.Replica, lasted bool) {
 	parts := r.parts()
-	refused, _, _ := s.endChecks.Do(replica.ID, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-		defer cancel()
-		return s.upstreams.Refuses(ctx, replica.Address), nil
-	})
-	ended := refused.(bool)
-	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.Bool("ReplicaEnded", ended),
-		zap.Bool("Lasted", lasted), zap.Strings("Parts", parts))
-	if ended {
-		s.control.markEnded(replica)
-	}
-	if ended && !lasted {
+	answer := s.checkProcess(context.Background(), replica)
+	state := answer.stateOf(replica.Born)
+	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.String("Process", string(state)),
+		zap.Int64("KnownBorn", replica.Born), zap.Int64("Born", answer.born), zap.Bool("Lasted", lasted), zap.Strings("Parts", parts))
+	s.recordProcess(replica, state)
+	if state.ended() && !lasted {
 		s.control.recordEnd(parts, replica)
 	}
 }
--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -18,6 +18,8 @@
 const (
 	// processCheckTimeout bounds one check of a replica's process.
 	processCheckTimeout = 300 * time.Millisecond
+	// dialCheckTimeout bounds the check of a replica that tells nothing of its process.
+	dialCheckTimeout = 100 * time.Millisecond
 	// maxReportBytes bounds what a replica says of itself.
 	maxReportBytes = 64 << 10
 	// newConn is an exchange.Request.MaxIdle that allows new connections only.
@@ -47,6 +49,11 @@
 // that has started since under the same ID; there is no better evidence.
 func (s processState) confirmsEnd() bool { return s == processLives || s == processUnnamed }
 
+// ended reports whether the process that was known has certainly ended.
+func (s processState) ended() bool {
+	return s == processRestarted || s == processReplaced || s == processRefuses
+}
+
 // processAnswer is what one check has found at the address of a replica.
 type processAnswer struct {
 	// status is that of the answer, or 0 if there was none.
@@ -141,6 +148,9 @@
 
 // askForProcess asks a replica for its process on a new connection: a kept one may lead to a process that has not ended its connections yet.
 func (s *Server) askForProcess(replica placement.Replica) processAnswer {
+	if s.protocol.ProcessRequest == nil {
+		return s.dialForProcess(replica)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), processCheckTimeout)
 	defer cancel()
 	method, target, header := s.protocol.ProcessRequest(replica.ID)
@@ -161,6 +171,16 @@
 	return answer
 }
 
+// dialForProcess opens a connection to a replica that tells nothing of its process. Only a refusal tells that it has ended.
+func (s *Server) dialForProcess(replica placement.Replica) processAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), dialCheckTimeout)
+	defer cancel()
+	if s.upstreams.Refuses(ctx, replica.Address) {
+		return processAnswer{err: syscall.ECONNREFUSED}
+	}
+	return processAnswer{status: http.StatusOK}
+}
+
 // endConfirmation returns the function that confirms the end of an answer without framing, or nil if replicas do not tell of their
 // processes. The kernel ends the connections of a killed process in an orderly way, and where connections are accepted after that, by its
 // successor or by a proxy, the address tells nothing.
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -116,6 +116,9 @@
 		if c.isOutdated(update, replica.ID) {
 			continue
 		}
+		if exists && old.SoftwareVersion != replica.SoftwareVersion {
+			c.doubtRecentStreams(now, old)
+		}
 		restarted := c.renewIfRestarted(replica.ID, update.versions[replica.ID])
 		if restarted {
 			c.recordListChange(update.offsets[replica.ID])
--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -79,7 +79,7 @@
 			origin.Version = doubtedVersion
 		}
 		for _, attempt := range attempts {
-			c.streams.Begin(c.now(), attempt, origin)
+			c.streams.Begin(c.now(), attempt, from.ID, origin)
 		}
 		c.beacon.dirty = c.beacon.dirty || c.hasSeveralVersions(origin.Pool)
 		c.announceStreams()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
@@ -49,8 +48,6 @@
 	stopping      stopping
 	numberings    numberings
 	processChecks processChecks
-	// endChecks joins simultaneous checks of the same replica.
-	endChecks singleflight.Group
 }
 
 // NewServer returns a Server that takes placement and admission decisions from control and sends requests through
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -216,6 +216,12 @@
 		result = exchangeResult{outcome: attempt.Refused, err: errors.New("the upstream did not run the request"), load: result.load}
 	case resp.Status >= http.StatusInternalServerError:
 		result.outcome = attempt.Failed
+	case runs:
+		if err := s.confirmVersion(ctx, r, to, resp); err != nil {
+			resp.Close()
+			r.avoid = append(r.avoid, to.ID)
+			result = exchangeResult{outcome: attempt.InDoubt, err: err, load: result.load}
+		}
 	}
 	if runs {
 		r.state = r.state.WithOutcome(result.outcome)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -257,18 +257,52 @@
 	}
 }
 
-// MarkEnded records that the process of a replica has ended: connections to it are refused. Until its entry is renewed, which software the
-// process has that answers there later is not known.
-func (s *Scheduler) MarkEnded(now time.Time, id string) {
-	if r := s.replicas[id]; r != nil && !r.versionDoubted(now) {
-		r.endedAt = now
+// MarkEnded records that the process of a replica has ended, or cannot be reached. Until its entry is renewed, which software the process
+// has that answers there later is not known. MarkEnded reports whether that was not in doubt before.
+func (s *Scheduler) MarkEnded(now time.Time, id string) bool {
+	r := s.replicas[id]
+	if r == nil || r.versionDoubted(now) {
+		return false
+	}
+	r.endedAt = now
+	return true
+}
+
+// MarkRestarted records that another process than the listed one answers under the ID of a replica, since at most RestartNoticePeriod ago.
+func (s *Scheduler) MarkRestarted(now time.Time, id string) {
+	r := s.replicas[id]
+	since := now.Add(-RestartNoticePeriod)
+	if r != nil && (!r.versionDoubted(now) || since.Before(r.endedAt)) {
+		r.endedAt = since
+	}
+}
+
+// MarkLiving records that the listed process of a replica has been found to live.
+func (s *Scheduler) MarkLiving(id string) {
+	if r := s.replicas[id]; r != nil {
+		r.endedAt = time.Time{}
+	}
+}
+
+// MarkVersionChanged records that the entry of a replica, which is about to be renewed, names another software version. It returns since
+// when that version may have answered.
+func (s *Scheduler) MarkVersionChanged(now time.Time, id string) (since time.Time) {
+	since = now.Add(-RestartNoticePeriod)
+	r := s.replicas[id]
+	if r == nil {
+		return since
+	}
+	if r.versionDoubted(now) && r.endedAt.Before(since) {
+		since = r.endedAt
 	}
+	r.changedFrom, r.changedUntil = since, now
+	return since
 }
 
 // VersionDoubted reports whether the software version of a replica was in doubt already at a time.
 func (s *Scheduler) VersionDoubted(now time.Time, id string, at time.Time) bool {
 	r := s.replicas[id]
-	return r != nil && r.versionDoubted(now) && r.endedAt.Before(at)
+	return r != nil && (r.versionDoubted(now) && r.endedAt.Before(at) || r.answeredInChange(at))
 }
 
 // MarkLeaving records that a replica has said in an answer that it is leaving, and reports whether that was not known.
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -46,8 +46,9 @@
 type begun struct {
 	origin Origin
 	at     time.Time
-	// own is whether it began at this VM, and toldFrom since when peers have been told of it.
+	// own is whether it began at this VM, replica the ID of the replica at which it did, and toldFrom since when peers have been told of it.
 	own      bool
+	replica  string
 	toldFrom time.Time
 }
 
@@ -80,9 +81,25 @@
 // nameOf returns the name of the stream that an attempt began.
 func nameOf(attempt string) uint64 { return xxhash.Sum64String(attempt) }
 
-// Begin records that an attempt at this VM begins a stream at an origin.
-func (t *Tracker) Begin(now time.Time, attempt string, origin Origin) {
-	t.record(now, nameOf(attempt), origin, true)
+// Begin records that an attempt at this VM begins a stream at a replica of an origin.
+func (t *Tracker) Begin(now time.Time, attempt, replica string, origin Origin) {
+	name := nameOf(attempt)
+	t.record(now, name, origin, true)
+	t.streams[name].replica = replica
+}
+
+// Reassign gives the streams that have begun at this VM and a replica since a time another origin.
+func (t *Tracker) Reassign(now time.Time, replica string, since time.Time, origin Origin) (count int) {
+	var names []uint64
+	for i := len(t.order) - 1; i >= 0 && !t.order[i].at.Before(since); i-- {
+		if stream := t.streams[t.order[i].name]; stream != nil && stream.own && stream.replica == replica && stream.origin != origin {
+			names = append(names, t.order[i].name)
+		}
+	}
+	for _, name := range names {
+		t.record(now, name, origin, true)
+	}
+	return len(names)
 }
 
 func (t *Tracker) record(now time.Time, name uint64, origin Origin, own bool) {
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -29,22 +29,22 @@
 	both := []string{"v1", "v2"}
 	t.Run("a stream of this VM", func(t *testing.T) {
 		tracker := NewTracker(time.Time{})
-		tracker.Begin(start, "a", v1)
+		tracker.Begin(start, "a", "r", v1)
 		assertOrigin(t, tracker, start.Add(time.Second), "a", both, v1, Known)
 		assertOrigin(t, tracker, start.Add(time.Second), "b", both, Origin{}, SeveralVersions)
 		assertOrigin(t, tracker, start.Add(time.Second), "", both, Origin{}, SeveralVersions)
 	})
 	t.Run("its version no longer serves", func(t *testing.T) {
 		tracker := NewTracker(time.Time{})
-		tracker.Begin(start, "a", v1)
+		tracker.Begin(start, "a", "r", v1)
 		tracker.RecordGone(start.Add(time.Second), v1)
 		assertOrigin(t, tracker, start.Add(2*time.Second), "a", []string{"v2"}, v1, Known)
 		assertOrigin(t, tracker, start.Add(2*time.Second), "b", []string{"v2"}, Origin{}, SeveralVersions)
 	})
 	t.Run("begun anew at another version before its first event", func(t *testing.T) {
 		tracker := NewTracker(time.Time{})
-		tracker.Begin(start, "a", v1)
-		tracker.Begin(start, "a", v2)
+		tracker.Begin(start, "a", "r", v1)
+		tracker.Begin(start, "a", "r", v2)
 		assertOrigin(t, tracker, start, "a", both, v2, Known)
 	})
 	t.Run("a single version for as long as streams can be resumed", func(t *testing.T) {
@@ -72,10 +72,10 @@
 
 func TestStreamsAreToldToPeers(t *testing.T) {
 	tracker, peer := NewTracker(time.Time{}), NewTracker(time.Time{})
-	tracker.Begin(start, "a", v1)
+	tracker.Begin(start, "a", "r", v1)
 	assert.Empty(t, tracker.Report(start, nil), "a single version")
 	begin := start.Add(5 * time.Second)
-	tracker.Begin(begin, "b", v2)
+	tracker.Begin(begin, "b", "r", v2)
 	report := tracker.Report(begin, []string{pool})
 	assert.Equal(t, Report{v1: {nameOf("a")}, v2: {nameOf("b")}}, report, "those that began before there were several versions too")
 	peer.RecordPeer(begin, report)
@@ -84,7 +84,7 @@
 	assert.NotEmpty(t, tracker.Report(begin.Add(tellPeriod), []string{pool}), "told again, since messages are lost")
 	assert.Empty(t, tracker.Report(begin.Add(tellPeriod+time.Millisecond), []string{pool}))
 	for n := range 3 * maxTold {
-		tracker.Begin(begin, fmt.Sprint("many-", n), v1)
+		tracker.Begin(begin, fmt.Sprint("many-", n), "r", v1)
 	}
 	assert.Len(t, tracker.Report(begin, []string{pool})[v1], maxTold)
 }
@@ -92,10 +92,10 @@
 func TestTrackerIsBounded(t *testing.T) {
 	tracker := NewTracker(time.Time{})
 	for n := range maxRemembered + 100 {
-		tracker.Begin(start, fmt.Sprint(n), v1)
+		tracker.Begin(start, fmt.Sprint(n), "r", v1)
 	}
 	assert.LessOrEqual(t, len(tracker.streams), maxRemembered+1)
-	tracker.Begin(start.Add(time.Hour), "later", v1)
+	tracker.Begin(start.Add(time.Hour), "later", "r", v1)
 	assert.Len(t, tracker.streams, 1)
 }
 
@@ -140,7 +140,7 @@
 				attempt := fmt.Sprint("attempt-", len(began))
 				origin := Origin{pool, rapid.SampledFrom(versions).Draw(t, "version")}
 				began[attempt], beganAt[attempt] = origin, now
-				rapid.SampledFrom(vms).Draw(t, "vm").Begin(now, attempt, origin)
+				rapid.SampledFrom(vms).Draw(t, "vm").Begin(now, attempt, "r", origin)
 			},
 			"a version comes": func(t *rapid.T) {
 				serving[rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")], behind = true, true
@@ -185,3 +185,20 @@
 		})
 	})
 }
+
+// TestStreamsOfAChangedReplicaKeepTheirVersion guards against streams that began while a replica had another version than its entry, and
+// that go on at the version of the entry.
+func TestStreamsOfAChangedReplicaKeepTheirVersion(t *testing.T) {
+	tracker := NewTracker(time.Time{})
+	doubted := Origin{pool, "?"}
+	tracker.Begin(start, "before", "r", v1)
+	changed := start.Add(time.Second)
+	tracker.Begin(changed, "within", "r", v1)
+	tracker.Begin(changed, "elsewhere", "other", v1)
+	tracker.RecordPeer(changed, Report{v1: {nameOf("of a peer")}})
+	assert.Equal(t, 1, tracker.Reassign(changed.Add(time.Second), "r", changed, doubted))
+	for attempt, want := range map[string]Origin{"before": v1, "within": doubted, "elsewhere": v1, "of a peer": v1} {
+		assertOrigin(t, tracker, changed.Add(time.Second), attempt, []string{"v1"}, want, Known)
+	}
+	assert.Contains(t, tracker.Report(changed.Add(time.Second), []string{pool})[doubted], nameOf("within"), "peers are told")
+}
