gateway: streams of a restarted replica are in doubt at peers before their callers learn of the break

Change: once another process is found, the streams that began there in the 3 s before are recorded and told to peers as of an unknown version, and an answer that began within the doubt ends 40 ms later.

In a pool whose listed replicas all have one version, peers are not told of doubts either.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -22,6 +22,9 @@
 	// Together they last as long as the doubt about its software version.
 	silentCheckInterval = time.Second
 	maxSilentChecks     = 10
+	// peerNoticeDelay is how long after a restart has been found all peers know that the version of a stream is in doubt. Its caller may
+	// resume it there once it has broken.
+	peerNoticeDelay = 40 * time.Millisecond
 )
 
 // noteRefusal marks a replica as ended if an error means that connections to it are refused.
@@ -73,7 +76,7 @@
 	now := c.now()
 	doubted := c.scheduler.MarkEnded(now, replica.ID)
 	if state == processRestarted {
-		c.scheduler.MarkRestarted(now, replica.ID)
+		c.reassignStreams(now, replica, c.scheduler.MarkRestarted(now, replica.ID))
 	}
 	if !doubted {
 		return
@@ -91,10 +94,21 @@
 // either.
 func (c *Controller) doubtRecentStreams(now time.Time, old placement.Replica) {
 	since := c.scheduler.MarkVersionChanged(now, old.ID)
-	streams := c.streams.Reassign(now, old.ID, since, resumption.Origin{Pool: old.Pool, Version: doubtedVersion})
+	streams := c.reassignStreams(now, old, since)
 	c.log.Info("replica-version-changed", zap.String("Replica", old.ID), zap.String("SoftwareVersion", old.SoftwareVersion), zap.Int("Streams", streams))
 }
 
+// reassignStreams records that streams which have begun at a replica since a time are of an unknown version, and tells peers. It returns
+// their number.
+func (c *Controller) reassignStreams(now time.Time, replica placement.Replica, since time.Time) int {
+	streams := c.streams.Reassign(now, replica.ID, since, resumption.Origin{Pool: replica.Pool, Version: doubtedVersion})
+	if streams > 0 {
+		c.beacon.dirty = true
+		c.announceStreams()
+	}
+	return streams
+}
+
 // errVersionUnconfirmed means that an answer may be of another process, with another software version, than the one that was asked.
 var errVersionUnconfirmed = errors.New("the process that answers may have another software version")
 
--- a/gateway/doubted_versions_test.go
+++ b/gateway/doubted_versions_test.go
@@ -84,8 +84,10 @@
 			replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Address: startReporter(t, lives, say(200, fmt.Sprint("born ", c.born))), Born: 7, SoftwareVersion: "v1"}
 			runControl(t, s, replica)
 			began := time.Now()
+			s.control.recordStreams([]string{"begun-shortly-before"}, replica)
 			s.recordBroken(&request{http: &http.Request{}, info: RequestInfo{Attempt: "a"}}, replica, true)
 			assert.Equal(t, c.doubted, s.control.isVersionDoubted("r", began), "a stream that began shortly before")
+			assert.Equal(t, c.doubted, s.control.streamOrigin("begun-shortly-before", "p").Version == doubtedVersion)
 		})
 	}
 	t.Run("a silent process that answers later", func(t *testing.T) {
--- a/gateway/resumable_stream.go
+++ b/gateway/resumable_stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -59,7 +60,11 @@
 			s.endBrokenRun(r, from, r.answer.lasted)
 		}
 	}
-	if !g.events.CanResume() || s.control.isVersionDoubted(from.ID, r.answer.startedAt) {
+	doubted := s.control.isVersionDoubted(from.ID, r.answer.startedAt)
+	if doubted && ctx.Err() == nil {
+		time.Sleep(peerNoticeDelay)
+	}
+	if !g.events.CanResume() || doubted {
 		return s.forwardError(ctx, r, err), attempt.End
 	}
 	return s.forwardError(ctx, r, err), r.state.Next(attempt.Broken)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -268,13 +268,18 @@
 	return true
 }
 
-// MarkRestarted records that another process than the listed one answers under the ID of a replica, since at most RestartNoticePeriod ago.
-func (s *Scheduler) MarkRestarted(now time.Time, id string) {
+// MarkRestarted records that another process than the listed one answers under the ID of a replica. It returns since when it may do so.
+func (s *Scheduler) MarkRestarted(now time.Time, id string) (since time.Time) {
+	since = now.Add(-RestartNoticePeriod)
 	r := s.replicas[id]
-	since := now.Add(-RestartNoticePeriod)
-	if r != nil && (!r.versionDoubted(now) || since.Before(r.endedAt)) {
-		r.endedAt = since
+	if r == nil {
+		return since
 	}
+	if r.versionDoubted(now) && r.endedAt.Before(since) {
+		return r.endedAt
+	}
+	r.endedAt = since
+	return since
 }
 
 // MarkLiving records that the listed process of a replica has been found to live.
