--- a/soak/report.go
+++ b/soak/report.go
@@ -30,12 +30,12 @@
 	Events int
 	// Streams is the number of streams of which at least one event came, Completed of those that came whole.
 	Streams, Completed int
+	// Plain is the number of plain answers that came whole.
+	Plain int
 	// Broken is the number of answers that broke off, and Resumed of those that went on with a stream whose caller had some events.
 	Broken, Resumed int
 	// Abandoned is the number of streams that their callers gave up.
 	Abandoned int
-	// EndedUnframed is the number of unframed answers that ended between two events before the last one, which nothing in the bytes tells.
-	EndedUnframed int
 	// Refused is the number of answers by status that are no success.
 	Refused map[int]int
 	// Breaches holds the streams that broke a rule, and Counts their numbers by route and kind.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,16 @@
 	VMs, Replicas, Callers int
 	// Faults holds the kinds of faults that are injected.
 	Faults Kinds
+	// Direct lists replicas at their own addresses, without proxies. Faults of the network are left out then.
+	Direct bool
+	// Fronts puts a forwarder before each VM, which passes a reset on as an orderly end.
+	Fronts bool
+	// RestartDelay is the time after which an ended replica starts again, or 0 for that of the fault.
+	RestartDelay time.Duration
+	// WithoutResumes has callers resume with Last-Event-Id alone.
+	WithoutResumes bool
+	// layout is what the site consists of, by default that of defaultLayout.
+	layout *layout
 	// Binaries holds the paths of the programs under test: the first VM runs the first one, and so on, and from the start again.
 	Binaries []string
 	// Dir is a folder for settings and logs.
@@ -52,6 +62,9 @@
 // Run runs a site with the faults of the plan and returns what its callers saw. It prints the plan and the log lines of the streams that
 // broke a rule to opts.Out.
 func Run(ctx context.Context, opts Options) (Report, error) {
+	if opts.layout == nil {
+		opts.layout = defaultLayout()
+	}
 	plan := NewPlan(opts)
 	s, stop, err := startSite(opts, plan)
 	defer stop()
