integration: raw replicas listen below the range of ephemeral ports

TestSiteStreamOfAnnouncedLengthIsCut failed once in a run of the package, while 47,667 connections of several test runs on this machine were in TIME_WAIT: 'listen tcp 127.0.0.1:0: bind: address already in use'. Raw replicas, of which some listen at their address again, now use the ports that freeAddr gives out, which no outgoing connection takes. A run of the package used 1,386 of the 1,500 ports of its block; blocks have 2,000 now.

--- a/integration/ports_test.go
+++ b/integration/ports_test.go
@@ -15,7 +15,7 @@
 const (
 	firstPort     = 20_000
 	lastPort      = 32_000
-	portBlockSize = 1_500
+	portBlockSize = 2_000
 )
 
 // nextPort is the offset, in the block of this process, of the last port that freeAddr tried.
--- a/integration/raw_replica_test.go
+++ b/integration/raw_replica_test.go
@@ -34,10 +34,10 @@
 	s.listReplica(process, service, listener.Addr().String())
 }
 
-// listen listens on a loopback address until the test ends.
+// listen listens on a loopback address until the test ends. No outgoing connection takes the address once the listener is closed.
 func listen(t testing.TB) net.Listener {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddr(t))
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
 	return listener
--- a/integration/site_restarted_replica_test.go
+++ b/integration/site_restarted_replica_test.go
@@ -52,8 +52,7 @@
 func TestSiteRestartedReplicaGoesOnAtItsOldVersion(t *testing.T) {
 	t.Parallel()
 	s := newSiteWithReplicas(t, 1, append(defaultReplicas()[:2], defaultReplicas()[4:]...))
-	restarting, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	restarting := listen(t)
 	addr := restarting.Addr().String()
 	before := standin.NewProcess("restarting", "decode")
 	go serveVersion(restarting, before, "v1", false)
