--- a/soak/plan.go
+++ b/soak/plan.go
@@ -26,6 +26,14 @@
 	Versions Kind = "versions"
 	// Restarts starts a replica of the other software version under the same ID, and updates its entry a little later.
 	Restarts Kind = "restarts"
+	// Reborn starts a killed replica again under its ID, with the same software.
+	Reborn Kind = "reborn"
+	// Gone kills a share of the replicas, which do not come back.
+	Gone Kind = "gone"
+	// Dark has replicas fall silent, and kills them later.
+	Dark Kind = "dark"
+	// Resets has replicas reset all their connections and serve on.
+	Resets Kind = "resets"
 	// StoreFaults has the store answer late, not at all or with closed connections.
 	StoreFaults Kind = "store"
 	// Joints has replicas that are told Last-Event-Id begin anew, with the last event again or with one left out.
@@ -40,7 +48,17 @@
 	Lengths Kind = "lengths"
 	// Copies has replicas send an answer again on its connection, at once or before the next answer.
 	Copies Kind = "copies"
-	// Unframed has some answers end with their connection. One that is cut between two events cannot be told from a whole one.
+	// Breaks has replicas break answers off at any byte, in an orderly way or with a reset, but for orderly ends of unframed ones.
+	Breaks Kind = "breaks"
+	// Truncates has replicas end unframed answers in an orderly way between two events, and serve on.
+	Truncates Kind = "truncates"
+	// Releases replaces a replica by one at another address, which starts first.
+	Releases Kind = "releases"
+	// Reuse kills a replica and gives its address to one of another service.
+	Reuse Kind = "reuse"
+	// Herds kills most VMs at once.
+	Herds Kind = "herds"
+	// Unframed has some answers end with their connection.
 	Unframed Kind = "unframed"
 )
 
@@ -48,7 +66,7 @@
 type Kinds []Kind
 
 // AllKinds holds all kinds of faults.
-var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Unframed}
+var AllKinds = Kinds{Network, VMs, Replicas, Versions, Restarts, Reborn, Gone, Dark, Resets, StoreFaults, Joints, Empty, Repeats, Ends, Lengths, Copies, Breaks, Truncates, Releases, Reuse, Herds, Unframed}
 
 // Has reports whether k is in the set.
 func (k Kinds) Has(kind Kind) bool { return slices.Contains(k, kind) }
@@ -87,6 +105,13 @@
 	actionReplace action = "replace" // replica: drain, SIGKILL, and a new start with a new ID
 	actionUpgrade action = "upgrade" // replica: as kill, and the new process has the other software version
 	actionRestart action = "restart" // replica: as upgrade, with the same ID and an entry that changes later
+	actionReborn  action = "reborn"  // replica: as kill, with the same ID; the entry's sequence starts anew
+	actionGone    action = "gone"    // replica: SIGKILL; the entry goes a little later
+	actionDark    action = "dark"    // replica: SIGSTOP, and as kill after the step's duration
+	actionResets  action = "resets"  // replica: resets all its connections
+	actionRelease action = "release" // replica: a new one starts at another address, then this one drains and ends
+	actionReuse   action = "reuse"   // replica: SIGKILL; one of another service starts at the address later
+	actionHerd    action = "herd"    // VMs: most get SIGKILL at once, and start again after the step's duration
 	actionDelay   action = "delay"   // store: late answers
 	actionSilence action = "silence" // store: no answers
 	actionDown    action = "down"    // store: closed connections
@@ -108,6 +133,8 @@
 	maxFaultDuration = 2500 * time.Millisecond
 	// storeTarget is the target of faults of the store.
 	storeTarget = "store"
+	// herdTarget is the target of faults of many VMs.
+	herdTarget = "herd"
 )
 
 // Plan holds the faults of a run.
@@ -129,10 +156,16 @@
 	}
 	for n := range opts.Replicas {
 		p.add(replicaName(n), replicaActions(opts.Faults))
+		if opts.Faults.Has(Gone) {
+			p.addEnd(replicaName(n))
+		}
 	}
 	if opts.Faults.Has(StoreFaults) {
 		p.add(storeTarget, []action{actionDelay, actionDelay, actionSilence, actionDown})
 	}
+	if opts.Faults.Has(Herds) {
+		p.add(herdTarget, []action{actionHerd})
+	}
 	slices.SortStableFunc(p.steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
@@ -155,6 +188,21 @@
 	if faults.Has(Restarts) {
 		actions = append(actions, actionRestart)
 	}
+	if faults.Has(Reborn) {
+		actions = append(actions, actionReborn, actionReborn)
+	}
+	if faults.Has(Resets) {
+		actions = append(actions, actionResets)
+	}
+	if faults.Has(Dark) {
+		actions = append(actions, actionDark)
+	}
+	if faults.Has(Releases) {
+		actions = append(actions, actionRelease)
+	}
+	if faults.Has(Reuse) {
+		actions = append(actions, actionReuse)
+	}
 	return actions
 }
 
@@ -172,6 +220,20 @@
 	}
 }
 
+// goneShare is one in how many replicas ends for good.
+const goneShare = 4
+
+// addEnd ends some replicas for good, at any time of the run, in the place of their later faults.
+func (p *Plan) addEnd(target string) {
+	rng := newRand(p.opts.Seed, "end of "+target)
+	at := time.Duration(rng.Int64N(int64(p.opts.Duration)))
+	if rng.IntN(goneShare) > 0 {
+		return
+	}
+	p.steps = slices.DeleteFunc(p.steps, func(s step) bool { return s.target == target && s.at > at })
+	p.steps = append(p.steps, step{at: at, target: target, action: actionGone})
+}
+
 // stepsOf returns the steps of one target in order.
 func (p Plan) stepsOf(target string) []step {
 	return slices.DeleteFunc(slices.Clone(p.steps), func(s step) bool { return s.target != target })
