gateway: an answer to another request tells nothing of a process

Checks of a replica's process may use kept connections since. An answer that names an attempt is no longer accepted.

--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -171,7 +171,9 @@
 func (s *Server) tryToAskForProcess(ctx context.Context, replica placement.Replica) processAnswer {
 	method, target, header := s.protocol.ProcessRequest(replica.ID)
 	resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: method, Target: target, Host: replica.Address, Header: header,
-		ConfirmEnd: func(context.Context) error { return nil }})
+		ConfirmEnd: func(context.Context) error { return nil },
+		// A kept connection may bring a late copy of the answer to a request before.
+		AcceptResponse: func(h http.Header) bool { return s.protocol.ReadResponseInfo(http.StatusOK, h).Attempt == "" }})
 	if err != nil {
 		return processAnswer{err: err}
 	}
--- a/gateway/process_checks_test.go
+++ b/gateway/process_checks_test.go
@@ -94,6 +94,7 @@
 		"a proxy that closes":                    {7, lives, func(net.Conn) {}, false},
 		"a proxy that answers itself":            {7, lives, say(502, "born 7"), false},
 		"no answer":                              {7, lives, func(net.Conn) { time.Sleep(5 * time.Second) }, false},
+		"an answer to another request":           {7, lives, say(200, "born 7", NativeHeaders.Attempt+": a\r\n"), false},
 		"an answer that breaks off":              {7, lives, func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nborn 7") }, false},
 		"an answer without framing":              {7, lives, func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nborn 7") }, true},
 		"a replica without reports":              {7, lives, say(400, "no id"), true},
