--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
@@ -49,8 +48,6 @@
 	stopping      stopping
 	numberings    numberings
 	processChecks processChecks
-	// endChecks joins simultaneous checks of the same replica.
-	endChecks singleflight.Group
 }
 
 // NewServer returns a Server that takes placement and admission decisions from control and sends requests through
@@ -110,7 +107,8 @@
 	ctx, cancel := context.WithCancelCause(httpRequest.Context())
 	defer cancel(nil)
 	r.cancel = cancel
-	r.w = &responseWriter{ResponseWriter: w, now: s.control.now, controller: http.NewResponseController(w), chunks: httpRequest.ProtoAtLeast(1, 1)}
+	r.w = &responseWriter{ResponseWriter: w, now: s.control.now, controller: http.NewResponseController(w), chunks: httpRequest.ProtoAtLeast(1, 1),
+		confirmsEnds: s.protocol.ProcessRequest != nil}
 	if conn := callerConnOf(httpRequest); conn != nil {
 		r.w.setResetOnClose = func(reset bool) { s.setResetOnClose(r, conn, reset) }
 	}
