--- a/gateway/doubted_versions_test.go
+++ b/gateway/doubted_versions_test.go
@@ -46,7 +46,7 @@
 		"the listed process":                        {say(200, "born 7"), true, attempt.Answered, false},
 		"another process":                           {say(200, "born 8"), true, attempt.InDoubt, true},
 		"another replica":                           {say(421, ""), true, attempt.InDoubt, true},
-		"a replica without reports":                 {say(400, ""), true, attempt.Answered, false},
+		"a replica without reports":                 {say(400, "", NativeHeaders.NotRun+": 1\r\n"), true, attempt.Answered, false},
 		"another process, for a stream that begins": {say(200, "born 8"), false, attempt.Answered, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -23,7 +23,7 @@
 	// maxReportBytes bounds what a replica says of itself.
 	maxReportBytes = 64 << 10
 	// processCheckPause is the time between two tries of one check. A replica that has enough connections resets further ones.
-	processCheckPause = 20 * time.Millisecond
+	processCheckPause = 50 * time.Millisecond
 )
 
 // processState is what is found of the process of a replica.
@@ -73,6 +73,9 @@
 		return processReplaced
 	case a.err != nil, a.status >= http.StatusInternalServerError && !a.notRun:
 		return processSilent
+	case a.born == 0 && !a.notRun && (a.status != http.StatusOK || born != 0):
+		// This may be the answer of a proxy.
+		return processSilent
 	case a.born == 0 || born == 0:
 		return processUnnamed
 	case a.born != born:
--- a/gateway/process_checks_test.go
+++ b/gateway/process_checks_test.go
@@ -97,7 +97,7 @@
 		"an answer to another request":           {7, lives, say(200, "born 7", NativeHeaders.Attempt+": a\r\n"), false},
 		"an answer that breaks off":              {7, lives, func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nborn 7") }, false},
 		"an answer without framing":              {7, lives, func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nborn 7") }, true},
-		"a replica without reports":              {7, lives, say(400, "no id"), true},
+		"a replica without reports":              {7, lives, say(400, "no id", NativeHeaders.NotRun+": 1\r\n"), true},
 		"a replica without reports that is full": {7, lives, say(503, "", NativeHeaders.NotRun+": 1\r\n"), true},
 		"a process that the list does not name":  {0, lives, say(200, "born 8"), true},
 	} {
