gateway: a caller that leaves puts no replica in doubt

The check of a software version that its caller cancels counted as silence of the replica, whose version was in doubt then. Found by the review; TestCallerThatLeavesPutsALivingReplicaInDoubt failed before, and passes.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -119,8 +119,12 @@
 		return nil
 	}
 	state := s.checkProcess(ctx, to).stateOf(to.Born)
-	if state.confirmsEnd() {
+	switch {
+	case state.confirmsEnd():
 		return nil
+	case ctx.Err() != nil:
+		// The caller has left before the check was over.
+		return context.Cause(ctx)
 	}
 	s.log.Info("version-not-confirmed", zap.String("Request", r.info.Attempt), zap.String("Replica", to.ID), zap.String("Process", string(state)), zap.String("SoftwareVersion", to.SoftwareVersion))
 	s.recordProcess(to, state)
