gateway: callers that cancel streams do not count against the engine

A stream that broke since its caller had left was recorded as a failure of its engine; three in a row had it skipped. Found by the review; TestCallersThatLeaveEjectAReplica failed before, and passes.

--- a/gateway/resumable_stream.go
+++ b/gateway/resumable_stream.go
@@ -54,11 +54,9 @@
 	case errors.Is(err, errEndUnknown), misplaced && !g.events.Followed():
 		// No other engine would tell more than this one, or the caller has named an event after which no engine goes on.
 		return s.forwardError(ctx, r, err), attempt.End
-	case !misplaced:
+	case !misplaced && ctx.Err() == nil:
 		s.control.recordFailure(from, false)
-		if ctx.Err() == nil {
-			s.endBrokenRun(r, from, r.answer.lasted)
-		}
+		s.endBrokenRun(r, from, r.answer.lasted)
 	}
 	doubted := s.control.isVersionDoubted(from.ID, r.answer.startedAt)
 	if doubted && ctx.Err() == nil {
