gateway: answers by length of plain routes, and second answers without framing, are judged as before

 judged event streams by length on all routes: whole plain answers that call themselves event streams and hold none broke off (TestSiteStrayAnswerReachesACaller, TestSiteEarlierRefusalAnswersTheNextCall). let an answer without framing complete a stream that had begun in chunks (TestSiteUnframedSecondAnswerCompletesAStream).

The length is kept from callers on streaming routes only, and a stream that began in chunks is not completed by an answer without framing.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -19,8 +19,8 @@
 // errNoResumption means that the answer to a request to resume a stream holds no event.
 var errNoResumption = errors.New("the answer does not resume the stream")
 
-// errEndUnknown means that a stream in chunks goes on with an answer that only the end of its connection ends, which nobody confirms: the last
-// chunk would claim that the stream is whole.
+// errEndUnknown means that a stream in chunks goes on with an answer that only the end of its connection ends: the last chunk would claim that
+// the stream is whole.
 var errEndUnknown = errors.New("nothing but the end of the connection says that the stream is whole")
 
 // isEventStream reports whether a response says that its body is an event stream.
@@ -70,7 +70,7 @@
 		return resp.TruncatedError()
 	case w.started && events.Joining():
 		return errNoResumption
-	case w.started && w.framing != exchange.FramedByConn && resp.Framing == exchange.FramedByConn && !w.confirmsEnds:
+	case w.started && w.framing != exchange.FramedByConn && w.upstreamFraming != exchange.FramedByConn && resp.Framing == exchange.FramedByConn:
 		return errEndUnknown
 	case len(rest) > 0:
 		return w.writeAndFlush(rest)
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -73,7 +73,7 @@
 			defer resp.Close()
 			recorder := httptest.NewRecorder()
 			w := &responseWriter{ResponseWriter: recorder, controller: http.NewResponseController(recorder), chunks: true}
-			w.prepare(resp.Status, resp.Header, resp.Framing, bodyLength(resp))
+			w.prepare(resp.Status, resp.Header, resp.Framing, bodyLength(resp, true))
 			err = w.copyStream(resp, nil)
 			assert.Equal(t, scenario.complete, err == nil, "%v", err)
 			assert.Empty(t, recorder.Header().Get("Content-Length"), "the length would complete the stream")
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -29,8 +29,8 @@
 	chunks bool
 	// confirmsEnds is whether the end of a body that only the upstream's connection ends is confirmed before it counts.
 	confirmsEnds bool
-	// framing says what ends the body that the caller receives.
-	framing exchange.Framing
+	// upstreamFraming says what ends the body of the first upstream, and framing what ends the one that the caller receives.
+	upstreamFraming, framing exchange.Framing
 	// bytes counts the body bytes written so far.
 	bytes int64
 	// firstByteAt is when the first byte of the body was written, by the clock now.
@@ -66,7 +66,7 @@
 		header["Content-Type"] = nil
 	}
 	header.Del("Content-Length")
-	w.framing = w.callerFraming(upstream, length)
+	w.upstreamFraming, w.framing = upstream, w.callerFraming(upstream, length)
 	switch {
 	case w.framing == exchange.FramedByLength:
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
@@ -162,7 +162,7 @@
 		_, err := events.Add(complete)
 		return err
 	})
-	if err == nil && isTruncated(resp, tail.Started(), tail.Rest()) {
+	if err == nil && w.framing != exchange.FramedByLength && isTruncated(resp, tail.Started(), tail.Rest()) {
 		return resp.TruncatedError()
 	}
 	return err
@@ -190,10 +190,10 @@
 	}
 }
 
-// bodyLength returns the length of the body of a response to announce to the caller, in bytes, or -1 for none. That of an event stream is
-// not announced, since the stream may turn out to end inside an event, and would be complete with its length.
-func bodyLength(resp *exchange.Response) int64 {
-	if isEventStream(resp.Header) {
+// bodyLength returns the length of the body of a response to announce to the caller, in bytes, or -1 for none. That of a route's event stream
+// is not announced, since the stream may turn out to end inside an event, and would be complete with its length.
+func bodyLength(resp *exchange.Response, streamRoute bool) int64 {
+	if streamRoute && isEventStream(resp.Header) {
 		return -1
 	}
 	return resp.Length
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -295,7 +295,7 @@
 func (s *Server) relayResponse(r *request, from placement.Replica, resp *exchange.Response) *Error {
 	defer resp.Close()
 	r.logFields = append(r.logFields, zap.String("Replica", from.ID), zap.Stringer("Framing", resp.Framing))
-	r.w.prepare(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, bodyLength(resp))
+	r.w.prepare(resp.Status, s.protocol.ResponseHeaders(resp.Header), resp.Framing, bodyLength(resp, r.route.Stream))
 	if resp.Status == http.StatusOK && (r.route.Stream || isEventStream(resp.Header)) && !isEncoded(resp.Header) {
 		return relayError(s.copyStream(r, from, resp))
 	}
