dev, gateway, integration: mutants of mechanisms that are guarded twice now

The check of a process masks a killed peer and a restarted replica in two tests: TestSiteKilledPeerCompletesAnAnswer kills the peer that relays only, so that the replica can be asked (stricter: the peer's reset alone tells), and the placement test finds the second. An answer without an event is a case of its own in TestSiteErrorOfTheNextReplicaInsideAStream.

--- a/integration/site_faulty_answers_test.go
+++ b/integration/site_faulty_answers_test.go
@@ -64,6 +64,7 @@
 		"head cut":           func(a string) string { return "HTTP/1.1 500 Internal" + rawCut },
 		"not an event":       func(a string) string { return rawAnswer(a, "r", text) },
 		"events without IDs": func(a string) string { return rawAnswer(a, "r", "data: "+text+"\n\n") },
+		"no event":           func(a string) string { return rawEvents(a, "") + lastChunk },
 		"another attempt's":  func(a string) string { return rawAnswer("other", "r", streamBody("other", 3)) },
 	}
 	for name, answer := range answers {
--- a/integration/site_killed_peer_test.go
+++ b/integration/site_killed_peer_test.go
@@ -44,7 +44,9 @@
 			})
 			time.Sleep(300 * time.Millisecond)
 			for _, peer := range s.vms[:2] {
-				s.kill(peer)
+				if len(s.logLines(peer, "Event=connection-opened-for-peer", request.attempt)) > 0 {
+					s.kill(peer)
+				}
 			}
 			a := <-answered
 			assert.True(t, strings.HasPrefix(kind.start, a.body), a.body)
