--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -71,7 +71,7 @@
 		return processRefuses
 	case a.misdirected:
 		return processReplaced
-	case a.err != nil:
+	case a.err != nil, a.status >= http.StatusInternalServerError && !a.notRun:
 		return processSilent
 	case a.born == 0 && !a.notRun && (a.status != http.StatusOK || born != 0):
 		// This may be the answer of a proxy.
