gateway: failures of streams that their callers cancel count for the engine again

More prompts were prefilled for nothing: engines whose callers leave are crowded, and being skipped relieves them.

--- a/gateway/resumable_stream.go
+++ b/gateway/resumable_stream.go
@@ -54,9 +54,11 @@
 	case errors.Is(err, errEndUnknown), misplaced && !g.events.Followed():
 		// No other engine would tell more than this one, or the caller has named an event after which no engine goes on.
 		return s.forwardError(ctx, r, err), attempt.End
-	case !misplaced && ctx.Err() == nil:
+	case !misplaced:
 		s.control.recordFailure(from, false)
-		s.endBrokenRun(r, from, r.answer.lasted)
+		if ctx.Err() == nil {
+			s.endBrokenRun(r, from, r.answer.lasted)
+		}
 	}
 	doubted := s.control.isVersionDoubted(from.ID, r.answer.startedAt)
 	if doubted && ctx.Err() == nil {
