--- a/gateway/caller_conns_test.go
+++ b/gateway/caller_conns_test.go
@@ -154,5 +154,6 @@
 	l := newLimitedServer(t, connLimits{idle: longLimit, header: longLimit})
 	l.expireWhenRead = true
 	assert.Contains(t, readUntilClosed(t, l.dial(t, completeRequest)), "408 Request Timeout")
-	assert.Zero(t, l.served.Load())
+	// The connection may be closed before its request is served.
+	assert.Never(t, func() bool { return l.served.Load() > 0 }, 200*time.Millisecond, 5*time.Millisecond)
 }
