--- a/standin/process.go
+++ b/standin/process.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -65,6 +66,21 @@
 	return r.Method == http.MethodGet && r.URL.Path == HealthPath
 }
 
+// writeReport answers a request for the process's report.
+func (p Process) writeReport(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, p.report())
+}
+
+// answerHealthCheck answers a health check, which fails if all requests do.
+func (p Process) answerHealthCheck(w http.ResponseWriter, fails bool) {
+	if fails {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set(headerInstance, p.ID)
+}
+
 // RawAnswer returns the bytes of the answer to a request for what the process says of itself, or "" for other requests.
 func (p Process) RawAnswer(r *http.Request) string {
 	body, contentType := "", "text/plain"
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -199,8 +199,7 @@
 		return
 	}
 	if isReport(r) && !p.cfg.NativeProtocol {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, p.process.report())
+		p.process.writeReport(w)
 		return
 	}
 	if target := r.Header.Get(p.protocol.replica); target != "" && target != p.cfg.ID {
@@ -212,7 +211,7 @@
 		return
 	}
 	if isHealthCheck(r) && !p.cfg.NativeProtocol {
-		p.answerHealthCheck(w, faults)
+		p.process.answerHealthCheck(w, faults.Fail)
 		return
 	}
 	size := totalTokens(r.Header.Get(p.protocol.tokens))
@@ -237,14 +236,6 @@
 	}
 }
 
-func (p *Replica) answerHealthCheck(w http.ResponseWriter, faults ReplicaFaults) {
-	if faults.Fail {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set(headerInstance, p.cfg.ID)
-}
-
 // writeEndlessly writes bytes that never form a complete response to an attempt until the connection is closed.
 func (p *Replica) writeEndlessly(w http.ResponseWriter, attempt string, faults ReplicaFaults) {
 	start := "HTTP/1.1 200 OK\r\nEndless: "
