--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,7 +12,7 @@
 // TestStreamsStayWholeUnderFaults guards against streams that reach callers out of order, in parts of two runs or cut.
 func TestStreamsStayWholeUnderFaults(t *testing.T) {
 	opts := Options{Seed: 4, Duration: 15 * time.Second, VMs: 3, Replicas: 8, Callers: 12, Binaries: []string{binary}, Dir: t.TempDir(), Out: os.Stdout,
-		Faults: Kinds{Network, VMs, Replicas, Versions, StoreFaults, Joints, Repeats, Ends, Copies}}
+		Faults: Kinds{Network, VMs, Replicas, Versions, StoreFaults, Joints, Repeats, Ends, Lengths, Copies}}
 	report, err := Run(t.Context(), opts)
 	require.NoError(t, err)
 	assert.Empty(t, report.Breaches)
