Review: a half answer of a restarted replica looks complete

Cause: a plain service refuses the request for its process, so the check of an answer without framing finds the process Unnamed, and takes that for a confirmation. A VM that stood still asks only after the replica has started again under its ID.

--- /dev/null
+++ b/review/harness2/replica.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cassiabridge/cassiabridge/standin"
+)
+
+// Headers that replicas read and write besides those of package standin.
+const (
+	headerNotRun   = "Not-Executed"
+	headerSource   = "Kv-Source"
+	headerLastID   = "Last-Event-Id"
+	headerInstance = "Instance-Id"
+	handlePath     = "/api/kv-handle/"
+	readBlock      = 64 << 10
+	// receiveBytes is the receive buffer of a replica.
+	receiveBytes = 64 << 10
+	// deskReplicas is the number of replicas of the plain service of the small sites.
+	deskReplicas = 4
+)
+
+// replicaOptions configure a stand-in replica.
+type replicaOptions struct {
+	id, stage, version, addr string
+	born                     int64
+	// events is the number of events in a stream, and gap the time between two. A plain service takes gap for each half of its answer.
+	events int
+	gap    time.Duration
+	// unframed answers of a plain service have neither a length nor chunks.
+	unframed bool
+	// stopsAt is a path. The process stands still after each answer without framing to a request for it, until it is continued.
+	stopsAt string
+	// runs is a file to which the attempts are written that reach the replica, or empty.
+	runs string
+	// readTime is how long the replica takes to read a body of uploadBytes, or 0.
+	readTime time.Duration
+}
+
+func (o replicaOptions) args() []string {
+	return []string{"replica", "-id", o.id, "-stage", o.stage, "-version", o.version, "-addr", o.addr, "-born", strconv.FormatInt(o.born, 10),
+		"-events", strconv.Itoa(o.events), "-gap", o.gap.String(), "-unframed=" + strconv.FormatBool(o.unframed), "-stops-at", o.stopsAt, "-runs", o.runs, "-read-time", o.readTime.String()}
+}
+
+// startProcess starts a replica process and waits until it listens.
+func (s *site) startProcess(o replicaOptions) (*child, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	c, err := s.startChild(o.id, nil, program, o.args()...)
+	if err != nil {
+		return nil, err
+	}
+	return c, await(o.id+" listens", func() bool { return listens(o.addr) })
+}
+
+// startReplica starts a replica process, and writes its entry to the store as the replica would.
+func (s *site) startReplica(o replicaOptions, service string) (*child, error) {
+	c, err := s.startProcess(o)
+	if err == nil {
+		s.list(o, service)
+	}
+	return c, err
+}
+
+// configureDesk writes a configuration with routes to a plain service.
+func (s *site) configureDesk() {
+	s.configure([]map[string]any{
+		standin.Route("status", hostName, "/status/", "idempotent", "desk", map[string]any{"maxAttempts": 2}),
+		standin.Route("release", hostName, "/release/", "non_idempotent", "desk", nil),
+	}, []map[string]any{{"name": "desk", "healthPath": standin.HealthPath, "maxConnections": 100}})
+}
+
+// startedReplica is a replica process with its options.
+type startedReplica struct {
+	child   *child
+	options replicaOptions
+}
+
+// startDesks starts the replicas of the plain service, which share options, and writes a configuration.
+func (s *site) startDesks(shared replicaOptions) ([]startedReplica, error) {
+	var desks []startedReplica
+	for n := range deskReplicas {
+		o := shared
+		var err error
+		if o.addr, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		o.id, o.version, o.born = fmt.Sprintf("s-%d", n), "v1", time.Now().UnixMilli()
+		c, err := s.startReplica(o, "desk")
+		if err != nil {
+			return nil, err
+		}
+		desks = append(desks, startedReplica{c, o})
+	}
+	s.configureDesk()
+	return desks, nil
+}
+
+// list writes the entry of a replica.
+func (s *site) list(o replicaOptions, service string) {
+	entry := map[string]any{"service": service, "zone": zone, "version": o.version, "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "address": o.addr, "born": o.born}
+	if o.stage != "" {
+		entry["stage"] = o.stage
+	}
+	s.store.PutReplica(o.id, entry)
+}
+
+// listens reports whether a process listens at an address.
+func listens(addr string) bool {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
+// replica is a stand-in replica, in a process of its own.
+type replica struct {
+	replicaOptions
+
+	mu      sync.Mutex
+	handles map[string]bool
+	next    int
+}
+
+// runReplica serves a replica until the process is killed.
+func runReplica(args []string) {
+	var p replica
+	p.handles = map[string]bool{}
+	flags := flag.NewFlagSet("replica", flag.ExitOnError)
+	flags.StringVar(&p.id, "id", "", "ID")
+	flags.StringVar(&p.stage, "stage", "", "prefill, decode or empty")
+	flags.StringVar(&p.version, "version", "v1", "version of the software")
+	flags.StringVar(&p.addr, "addr", "", "loopback address and port")
+	flags.Int64Var(&p.born, "born", 0, "start in Unix milliseconds")
+	flags.IntVar(&p.events, "events", 0, "events of a stream")
+	flags.DurationVar(&p.gap, "gap", 0, "time between events")
+	flags.BoolVar(&p.unframed, "unframed", false, "answer without length and chunks")
+	flags.StringVar(&p.stopsAt, "stops-at", "", "path after whose answers without length and chunks to stand still")
+	flags.StringVar(&p.runs, "runs", "", "file for the attempts that reach the replica")
+	flags.DurationVar(&p.readTime, "read-time", 0, "time to read a long body")
+	_ = flags.Parse(args)
+	listener, err := listenWithSmallWindow(p.addr)
+	if err == nil {
+		server := &http.Server{Handler: &p, ReadHeaderTimeout: readyTimeout}
+		err = server.Serve(listener)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(exitNotRun)
+}
+
+// listenWithSmallWindow listens on an address. The windows of links are small, so a replica that does not read blocks its caller.
+func listenWithSmallWindow(addr string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+		})
+		return errors.Join(err, optErr)
+	}}
+	return config.Listen(context.Background(), "tcp", addr)
+}
+
+// readBody reads and discards a body.
+func (p *replica) readBody(body io.Reader) {
+	block := make([]byte, readBlock)
+	for {
+		n, err := io.ReadFull(body, block)
+		time.Sleep(p.readTime * time.Duration(n) / uploadBytes)
+		if err != nil {
+			return
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(standin.HeaderAttempt)
+	p.recordArrival(attempt)
+	p.readBody(r.Body)
+	target := r.Header.Get(standin.HeaderReplica)
+	handle, frees := strings.CutPrefix(r.URL.Path, handlePath)
+	if attempt != "" {
+		w.Header().Set(standin.HeaderAttempt, attempt)
+	}
+	switch {
+	case frees && r.Method == http.MethodDelete:
+		if !p.take(handle) {
+			w.WriteHeader(http.StatusNotFound)
+		}
+	case target != "" && target != p.id:
+		w.Header().Set(headerInstance, p.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case r.Method == http.MethodGet && r.URL.Path == standin.HealthPath:
+		w.Header().Set(headerInstance, p.id)
+	case p.stage != "" && r.Method == http.MethodGet && r.URL.Path == "/api/report":
+		p.report(w)
+	case attempt == "":
+		refuse(w, http.StatusBadRequest)
+	case p.stage == "prefill":
+		p.prefill(w)
+	case p.stage == "decode":
+		p.decode(w, r, attempt)
+	default:
+		p.serve(w, r, attempt)
+	}
+}
+
+// recordArrival writes an attempt down as soon as its header has arrived.
+func (p *replica) recordArrival(attempt string) {
+	if p.runs == "" || attempt == "" {
+		return
+	}
+	file, err := os.OpenFile(p.runs, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer func() { _ = file.Close() }()
+	fmt.Fprintln(file, attempt)
+}
+
+// refuse answers that the request has not run.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(status)
+}
+
+func (p *replica) report(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"stage": p.stage, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false,
+		"sequence": 0, "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 76160, "kvHandles": 0, "runs": []any{}, "state": "ready", "born": p.born})
+}
+
+// take removes a handle and reports whether it was held.
+func (p *replica) take(handle string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.handles[handle]
+	delete(p.handles, handle)
+	return held
+}
+
+// prefill reads a prompt.
+func (p *replica) prefill(w http.ResponseWriter) {
+	p.mu.Lock()
+	p.next++
+	handle := fmt.Sprintf("%x%04x", p.born, p.next)
+	p.handles[handle] = true
+	p.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "tokens": 5000, "version": 1})
+}
+
+// fetch takes the memory of a prompt from the engine that has read it.
+func fetch(source string) bool {
+	addr, handle, _ := strings.Cut(source, "/")
+	r, err := http.NewRequest(http.MethodDelete, "http://"+addr+handlePath+handle, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// decode writes a stream. Each event names the software that has made it.
+func (p *replica) decode(w http.ResponseWriter, r *http.Request, attempt string) {
+	if source := r.Header.Get(headerSource); source != "" && !fetch(source) {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	first, _ := strconv.Atoi(r.Header.Get(headerLastID))
+	w.Header().Set(standin.HeaderSignature, "by "+p.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := first + 1; n <= p.events; n++ {
+		select {
+		case <-time.After(p.gap):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s %s %s\n\n", n, p.version, p.id, attempt)
+		if http.NewResponseController(w).Flush() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// halves returns the two halves of the answer of a plain service.
+func halves(attempt string) (string, string) {
+	return "first half for " + attempt + "\n", "second half for " + attempt + "\n"
+}
+
+// serve answers as a plain service.
+func (p *replica) serve(w http.ResponseWriter, r *http.Request, attempt string) {
+	first, second := halves(attempt)
+	if p.unframed {
+		p.serveUnframed(w, attempt, first, second)
+		if p.stopsAt != "" && r.URL.Path == p.stopsAt {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+		}
+		return
+	}
+	w.Header().Set(standin.HeaderSignature, "by "+p.id)
+	_, _ = io.WriteString(w, first)
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(p.gap)
+	_, _ = io.WriteString(w, second)
+}
+
+// serveUnframed answers with neither a length nor chunks. The answer ends with its connection, in an orderly way.
+func (p *replica) serveUnframed(w http.ResponseWriter, attempt, first, second string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: by %s\r\nConnection: close\r\n\r\n%s", standin.HeaderAttempt, attempt, standin.HeaderSignature, p.id, first)
+	time.Sleep(p.gap)
+	_, _ = io.WriteString(conn, second)
+	conn.Close()
+}
