--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -25,10 +25,8 @@
 type call struct {
 	method, path, attempt string
 	header                map[string]string
-	// body is sent with its length, or in chunks.
-	body    string
-	chunked bool
-	timeout time.Duration
+	body                  string
+	timeout               time.Duration
 }
 
 // answer is what a caller got.
@@ -73,16 +71,11 @@
 	for name, value := range c.header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
-	switch {
-	case c.chunked:
-		b.WriteString("Transfer-Encoding: chunked\r\n")
-		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(c.body), c.body)
-	case c.method == http.MethodPost:
+	if c.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.body))
-		body = c.body
 	}
 	b.WriteString("\r\n")
-	return b.String(), body
+	return b.String(), c.body
 }
 
 // do sends a request on the connection and reads its answer.
--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -26,9 +24,6 @@
 	headerLastID   = "Last-Event-Id"
 	headerInstance = "Instance-Id"
 	handlePath     = "/api/kv-handle/"
-	readBlock      = 64 << 10
-	// receiveBytes is the receive buffer of a replica.
-	receiveBytes = 64 << 10
 	// deskReplicas is the number of replicas of the plain service of the small sites.
 	deskReplicas = 4
 )
@@ -44,15 +39,11 @@
 	unframed bool
 	// stopsAt is a path. The process stands still after each answer without framing to a request for it, until it is continued.
 	stopsAt string
-	// runs is a file to which the attempts are written that reach the replica, or empty.
-	runs string
-	// readTime is how long the replica takes to read a body of uploadBytes, or 0.
-	readTime time.Duration
 }
 
 func (o replicaOptions) args() []string {
 	return []string{"replica", "-id", o.id, "-stage", o.stage, "-version", o.version, "-addr", o.addr, "-born", strconv.FormatInt(o.born, 10),
-		"-events", strconv.Itoa(o.events), "-gap", o.gap.String(), "-unframed=" + strconv.FormatBool(o.unframed), "-stops-at", o.stopsAt, "-runs", o.runs, "-read-time", o.readTime.String()}
+		"-events", strconv.Itoa(o.events), "-gap", o.gap.String(), "-unframed=" + strconv.FormatBool(o.unframed), "-stops-at", o.stopsAt}
 }
 
 // startProcess starts a replica process and waits until it listens.
@@ -153,47 +144,16 @@
 	flags.DurationVar(&p.gap, "gap", 0, "time between events")
 	flags.BoolVar(&p.unframed, "unframed", false, "answer without length and chunks")
 	flags.StringVar(&p.stopsAt, "stops-at", "", "path after whose answers without length and chunks to stand still")
-	flags.StringVar(&p.runs, "runs", "", "file for the attempts that reach the replica")
-	flags.DurationVar(&p.readTime, "read-time", 0, "time to read a long body")
 	_ = flags.Parse(args)
-	listener, err := listenWithSmallWindow(p.addr)
-	if err == nil {
-		server := &http.Server{Handler: &p, ReadHeaderTimeout: readyTimeout}
-		err = server.Serve(listener)
-	}
-	fmt.Fprintln(os.Stderr, err)
+	server := &http.Server{Addr: p.addr, Handler: &p, ReadHeaderTimeout: readyTimeout}
+	fmt.Fprintln(os.Stderr, server.ListenAndServe())
 	os.Exit(exitNotRun)
 }
 
-// listenWithSmallWindow listens on an address. The windows of links are small, so a replica that does not read blocks its caller.
-func listenWithSmallWindow(addr string) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var optErr error
-		err := raw.Control(func(fd uintptr) {
-			optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
-		})
-		return errors.Join(err, optErr)
-	}}
-	return config.Listen(context.Background(), "tcp", addr)
-}
-
-// readBody reads and discards a body.
-func (p *replica) readBody(body io.Reader) {
-	block := make([]byte, readBlock)
-	for {
-		n, err := io.ReadFull(body, block)
-		time.Sleep(p.readTime * time.Duration(n) / uploadBytes)
-		if err != nil {
-			return
-		}
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get(standin.HeaderAttempt)
-	p.recordArrival(attempt)
-	p.readBody(r.Body)
+	_, _ = io.Copy(io.Discard, r.Body)
 	target := r.Header.Get(standin.HeaderReplica)
 	handle, frees := strings.CutPrefix(r.URL.Path, handlePath)
 	if attempt != "" {
@@ -222,19 +182,6 @@
 	}
 }
 
-// recordArrival writes an attempt down as soon as its header has arrived.
-func (p *replica) recordArrival(attempt string) {
-	if p.runs == "" || attempt == "" {
-		return
-	}
-	file, err := os.OpenFile(p.runs, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return
-	}
-	defer func() { _ = file.Close() }()
-	fmt.Fprintln(file, attempt)
-}
-
 // refuse answers that the request has not run.
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set(headerNotRun, "1")
--- a/review/harness2/site.go
+++ b/review/harness2/site.go
@@ -22,10 +22,8 @@
 	hostName = "orders.example"
 	apiKey   = "key-of-schools"
 	tenant   = "schools"
-	// smallMemoryMB is what a machine of the small sites allows a process.
-	smallMemoryMB = 134
-	// uploadBytes is what the limits of the configuration allow for a body.
-	uploadBytes = 4 << 20
+	// memoryMB is what a machine of the small sites allows a process.
+	memoryMB = 134
 	// graceMillis is graceS of the small sites.
 	graceMillis = 8000
 	// readyTimeout is how long a process may take until it serves.
@@ -42,10 +40,8 @@
 	// storeAddr is the address of the store.
 	storeAddr string
 	router    string
-	// memoryMB is what a machine allows a process.
-	memoryMB int
-	dir      string
-	start    time.Time
+	dir       string
+	start     time.Time
 
 	mu       sync.Mutex
 	record   *os.File
@@ -74,7 +70,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &site{trouble: trouble, store: standin.NewStore(), router: router, memoryMB: smallMemoryMB, dir: dir, start: time.Now(), record: record, children: map[*child]bool{}}
+	s := &site{trouble: trouble, store: standin.NewStore(), router: router, dir: dir, start: time.Now(), record: record, children: map[*child]bool{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, nil, err
@@ -102,7 +98,7 @@
 	s.version++
 	s.store.Configure(standin.Configuration{
 		Version: s.version, Routes: routes, Services: services,
-		Limits:  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": uploadBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		Limits:  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		Tenants: []map[string]any{{"name": tenant, "apiKeys": []string{apiKey}, "unit": "token_count", "uncachedTokens": 200, "ratePerS": 1e7, "burst": 1e7}},
 	})
 }
@@ -192,7 +188,7 @@
 		"VM": v.name, "AvailabilityZone": zone,
 		"Listen": map[string]any{"Callers": v.callers, "Readiness": v.readiness, "Peers": v.peers, "Metrics": v.metrics},
 		"Gateway": map[string]any{"Store": storeAddr, "RetryRatio": 0.2, "RetrySlack": 54, "RetryWindow": 10000, "Grace": graceMillis,
-			"Regions": map[string]string{zone: "region-a"}, "Memory": s.memoryMB},
+			"Regions": map[string]string{zone: "region-a"}, "Memory": memoryMB},
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
