--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -24,6 +24,8 @@
 	headerLastID   = "Last-Event-Id"
 	headerInstance = "Instance-Id"
 	handlePath     = "/api/kv-handle/"
+	// heartbeatInterval is heartbeatMs of the small sites.
+	heartbeatInterval = 1200 * time.Millisecond
 	// deskReplicas is the number of replicas of the plain service of the small sites.
 	deskReplicas = 4
 )
@@ -102,13 +104,49 @@
 	return desks, nil
 }
 
-// list writes the entry of a replica.
+// list writes the entry of a replica, and writes it again at each heartbeat until the replica is killed or listed anew.
 func (s *site) list(o replicaOptions, service string) {
-	entry := map[string]any{"service": service, "zone": zone, "version": o.version, "slots": 48, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "address": o.addr, "born": o.born}
+	entry := map[string]any{"service": service, "zone": zone, "version": o.version, "slots": 48, "state": "ready", "coldRemainingMs": 0, "address": o.addr, "born": o.born}
 	if o.stage != "" {
 		entry["stage"] = o.stage
 	}
-	s.store.PutReplica(o.id, entry)
+	stop := make(chan struct{})
+	s.stopHeartbeat(o.id)
+	s.mu.Lock()
+	s.heartbeats[o.id] = stop
+	s.mu.Unlock()
+	s.writeEntry(o.id, entry, 1)
+	go func() {
+		ticker := time.NewTicker(heartbeatInterval)
+		defer ticker.Stop()
+		for sequence := 2; ; sequence++ {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+			}
+			s.writeEntry(o.id, entry, sequence)
+		}
+	}()
+}
+
+// writeEntry writes an entry, unless the store is down.
+func (s *site) writeEntry(id string, entry map[string]any, sequence int) {
+	if s.store.Faults().Down {
+		return
+	}
+	entry["sequence"] = sequence
+	s.store.PutReplica(id, entry)
+}
+
+// stopHeartbeat ends the heartbeat of a replica, if it has one.
+func (s *site) stopHeartbeat(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stop := s.heartbeats[id]; stop != nil {
+		close(stop)
+	}
+	delete(s.heartbeats, id)
 }
 
 // listens reports whether a process listens at an address.
--- a/review/harness2/site.go
+++ b/review/harness2/site.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +30,10 @@
 	// readyTimeout is how long a process may take until it serves.
 	readyTimeout = 15 * time.Second
 	pollInterval = 10 * time.Millisecond
+	// Ports of processes are chosen among portCount from firstPort on.
+	firstPort    = 20_000
+	portCount    = 12_000
+	maxPortTries = 100
 	// vmCount is the number of machines of the small sites.
 	vmCount = 7
 )
@@ -46,7 +51,9 @@
 	mu       sync.Mutex
 	record   *os.File
 	children map[*child]bool
-	version  int
+	// heartbeats holds what ends the heartbeat of a replica when it is closed, by ID.
+	heartbeats map[string]chan struct{}
+	version    int
 }
 
 // child is a process that the case has started.
@@ -70,7 +77,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &site{trouble: trouble, store: standin.NewStore(), router: router, dir: dir, start: time.Now(), record: record, children: map[*child]bool{}}
+	s := &site{trouble: trouble, store: standin.NewStore(), router: router, dir: dir, start: time.Now(), record: record, children: map[*child]bool{}, heartbeats: map[string]chan struct{}{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, nil, err
@@ -103,14 +110,23 @@
 	})
 }
 
-// freeAddr returns a free loopback address.
+// freeAddr returns a loopback address whose port is free for TCP and UDP, and is none that the kernel gives to connections.
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range maxPortTries {
+		addr := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		packets, err := net.ListenPacket("udp4", addr)
+		listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return addr, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // startChild starts a process, which ends with this one.
@@ -146,6 +162,7 @@
 
 // kill kills a process and waits for its end.
 func (s *site) kill(c *child) {
+	s.stopHeartbeat(c.name)
 	s.signal(c, syscall.SIGKILL)
 	<-c.done
 }
--- a/review/harness2/versions.go
+++ b/review/harness2/versions.go
@@ -77,8 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// Its entry follows as soon as the store takes it.
-	time.AfterFunc(storeDownFor, func() { s.list(o, "engines") })
+	s.list(o, "engines")
 	return program, nil
 }
 
