Review: an answer without an event looks like the rest of a stream

Cause: an answer that goes on with a stream and holds no event is refused only if the VM itself has begun the answer, not if its caller takes the stream up.

Nothing outside review/.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-2/harness2 ] || exit 2
-exec target/review-2/harness2 -case dark -record "$here/record.txt"
+exec target/review-2/harness2 -case forgotten -record "$here/record.txt"
--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,11 +42,13 @@
 	unframed bool
 	// stopsAt is a path. The process stands still after each answer without framing to a request for it, until it is continued.
 	stopsAt string
+	// emptyEach is how many answers that take a stream up an engine gives for each one that holds nothing, or 0 if it is not faulty.
+	emptyEach int64
 }
 
 func (o replicaOptions) args() []string {
 	return []string{"replica", "-id", o.id, "-stage", o.stage, "-version", o.version, "-addr", o.addr, "-born", strconv.FormatInt(o.born, 10),
-		"-events", strconv.Itoa(o.events), "-gap", o.gap.String(), "-unframed=" + strconv.FormatBool(o.unframed), "-stops-at", o.stopsAt}
+		"-events", strconv.Itoa(o.events), "-gap", o.gap.String(), "-unframed=" + strconv.FormatBool(o.unframed), "-stops-at", o.stopsAt, "-empty-each", strconv.FormatInt(o.emptyEach, 10)}
 }
 
 // startProcess starts a replica process and waits until it listens.
@@ -166,6 +169,8 @@
 	mu      sync.Mutex
 	handles map[string]bool
 	next    int
+	// resumed is the number of answers that take a stream up.
+	resumed atomic.Int64
 }
 
 // runReplica serves a replica until the process is killed.
@@ -182,6 +187,7 @@
 	flags.DurationVar(&p.gap, "gap", 0, "time between events")
 	flags.BoolVar(&p.unframed, "unframed", false, "answer without length and chunks")
 	flags.StringVar(&p.stopsAt, "stops-at", "", "path after whose answers without length and chunks to stand still")
+	flags.Int64Var(&p.emptyEach, "empty-each", 0, "answers that take a stream up for each one that holds nothing")
 	_ = flags.Parse(args)
 	server := &http.Server{Addr: p.addr, Handler: &p, ReadHeaderTimeout: readyTimeout}
 	fmt.Fprintln(os.Stderr, server.ListenAndServe())
@@ -275,6 +281,10 @@
 	first, _ := strconv.Atoi(r.Header.Get(headerLastID))
 	w.Header().Set(standin.HeaderSignature, "by "+p.id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if first > 0 && p.emptyEach > 0 && p.resumed.Add(1)%p.emptyEach == 0 {
+		_ = http.NewResponseController(w).Flush()
+		return
+	}
 	for n := first + 1; n <= p.events; n++ {
 		select {
 		case <-time.After(p.gap):
