gateway: silence is no evidence of an end

Cause: endConfirmation asked the replica for its process for 300 ms, and took silence for the evidence that the process had ended. confirmVersion did the same to answers of streams that go on.

Change: both ask until the process answers, refuses or turns out to be another one, or until the caller can wait no longer. A stream that can go on at another replica waits 2 s at most.

The tests failed before: TestSilenceCutsAWholeAnswer 2 of 2 subtests, TestSilenceDiscardsAStream 2 of 2. TestEndOfAnEndedProcessCompletesAnAnswer asked that a check end within 3 s where nothing tells of the process, which was the fault. It is as strict now: such a check lasts as long as the caller waits and then the answer is not whole, all others end before.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/resumption"
@@ -22,6 +23,8 @@
 	// Together they last as long as the doubt about its software version.
 	silentCheckInterval = time.Second
 	maxSilentChecks     = 10
+	// silencePatience is how long a stream waits for a silent replica if it can go on elsewhere. A sound one is silent for a second or so.
+	silencePatience = 2 * time.Second
 	// peerNoticeDelay is how long after a restart has been found all peers know that the version of a stream is in doubt. Its caller may
 	// resume it there once it has broken.
 	peerNoticeDelay = 40 * time.Millisecond
@@ -118,7 +121,13 @@
 	if !r.versions.Limited || resp.Status != http.StatusOK || s.protocol.ProcessRequest == nil {
 		return nil
 	}
-	state := s.checkProcess(ctx, to).stateOf(to.Born)
+	patience := ctx
+	if r.state.WithOutcome(attempt.InDoubt).MayRun() {
+		var cancel context.CancelFunc
+		patience, cancel = context.WithTimeout(ctx, silencePatience)
+		defer cancel()
+	}
+	state := s.awaitProcess(patience, to).stateOf(to.Born)
 	switch {
 	case state.confirmsEnd():
 		return nil
--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -41,7 +41,7 @@
 	processReplaced processState = "Replaced"
 	// processRefuses means that no process listens at the address.
 	processRefuses processState = "Refuses"
-	// processSilent means that no whole answer of a replica came in time.
+	// processSilent means that no whole answer of a replica came in time, which tells nothing: a process that lives may be silent for a second.
 	processSilent processState = "Silent"
 )
 
@@ -149,6 +149,20 @@
 	}
 }
 
+// awaitProcess asks a replica for its process until it is not silent any more, or ctx is done.
+func (s *Server) awaitProcess(ctx context.Context, replica placement.Replica) processAnswer {
+	for {
+		answer := s.checkProcess(ctx, replica)
+		if ctx.Err() != nil || answer.stateOf(replica.Born) != processSilent {
+			return answer
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(processCheckPause):
+		}
+	}
+}
+
 // askForProcess asks a replica for its process until there is an answer, connections are refused or processCheckTimeout has passed.
 func (s *Server) askForProcess(replica placement.Replica) processAnswer {
 	if s.protocol.ProcessRequest == nil {
@@ -204,14 +218,14 @@
 
 // endConfirmation returns the function that confirms the end of an answer without framing, or nil if replicas do not tell of their
 // processes. The kernel ends the connections of a killed process in an orderly way, and where connections are accepted after that, by its
-// successor or by a proxy, the address tells nothing.
+// successor or by a proxy, the address tells nothing. A replica that is silent is asked for as long as the caller can wait.
 func (s *Server) endConfirmation(r *request, from placement.Replica) func(context.Context) error {
 	if s.protocol.ProcessRequest == nil {
 		return nil
 	}
 	return func(ctx context.Context) error {
 		beganAt := s.control.now()
-		answer := s.checkProcess(ctx, from)
+		answer := s.awaitProcess(ctx, from)
 		state := answer.stateOf(from.Born)
 		s.metrics.ConfirmedEnds.WithLabelValues(string(state)).Inc()
 		s.log.Info("unframed-end-checked", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("Process", string(state)),
