gateway: a doubt by silence ends with the next answer

What callers saw: streams that began at a replica while it was silent for a moment could not be taken up while several software versions served, also after the replica had been found to live, and a plain replica was left out of streams that go on for 10 s although it answered.

Streams that began meanwhile got an unknown version for good, and an answer that names no start did not end the doubt.

Change: silence is a doubt of its own (MarkSilent). It ends with any answer of the replica's ID; where the answer names the listed process, that process has run all the while, and the streams that began meanwhile get its version back, here and at peers.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -67,7 +67,9 @@
 		case !exists || listed.Born != replica.Born:
 			// The entry has been renewed since.
 		case state == processLives:
-			c.scheduler.MarkLiving(replica.ID)
+			c.returnStreams(listed, c.scheduler.MarkLiving(replica.ID))
+		case state == processUnnamed:
+			c.scheduler.MarkAnswering(replica.ID)
 		case !state.confirmsEnd():
 			c.recordEndedProcess(replica, state, onDoubt)
 		}
@@ -77,7 +79,11 @@
 // recordEndedProcess is recordProcess for the control goroutine and a process that does not live or did not answer.
 func (c *Controller) recordEndedProcess(replica placement.Replica, state processState, onDoubt func()) {
 	now := c.now()
-	doubted := c.scheduler.MarkEnded(now, replica.ID)
+	mark := c.scheduler.MarkEnded
+	if state == processSilent {
+		mark = c.scheduler.MarkSilent
+	}
+	doubted := mark(now, replica.ID)
 	if state == processRestarted {
 		c.reassignStreams(now, replica, c.scheduler.MarkRestarted(now, replica.ID))
 	}
@@ -88,6 +94,16 @@
 	onDoubt()
 }
 
+// returnStreams gives the streams that have begun at a replica since a time, while its process was in doubt, its version again: the process
+// lives that was listed all the while. A zero time means that it was not in doubt.
+func (c *Controller) returnStreams(replica placement.Replica, since time.Time) {
+	if since.IsZero() {
+		return
+	}
+	streams := c.giveStreams(c.now(), replica, since, originOf(replica))
+	c.log.Info("replica-lives", zap.String("Replica", replica.ID), zap.Int("Streams", streams))
+}
+
 // isVersionDoubted reports whether the software version of a replica was in doubt when an answer of it began.
 func (c *Controller) isVersionDoubted(id string, answerBeganAt time.Time) bool {
 	return ask(c, func() bool { return c.scheduler.VersionDoubted(c.now(), id, answerBeganAt) })
@@ -104,7 +120,12 @@
 // reassignStreams records that streams which have begun at a replica since a time are of an unknown version, and tells peers. It returns
 // their number.
 func (c *Controller) reassignStreams(now time.Time, replica placement.Replica, since time.Time) int {
-	streams := c.streams.Reassign(now, replica.ID, since, resumption.Origin{Pool: replica.Pool, Version: doubtedVersion})
+	return c.giveStreams(now, replica, since, resumption.Origin{Pool: replica.Pool, Version: doubtedVersion})
+}
+
+// giveStreams gives the streams that have begun at a replica since a time an origin, and tells peers. It returns how many had another one.
+func (c *Controller) giveStreams(now time.Time, replica placement.Replica, since time.Time, origin resumption.Origin) int {
+	streams := c.streams.Reassign(now, replica.ID, since, origin)
 	if streams > 0 {
 		c.beacon.dirty = true
 		c.announceStreams()
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -111,6 +111,8 @@
 	replaced bool
 	// endedAt is since when the process of the replica may have ended, as was found since its entry was last renewed, or zero.
 	endedAt time.Time
+	// onlySilent is whether nothing but its silence since endedAt says so.
+	onlySilent bool
 	// changedFrom and changedUntil are since when another software version than the listed one may have answered, and until when, the last
 	// time that the version changed. They are zero if it has not.
 	changedFrom, changedUntil time.Time
