resumption: a VM asks for the streams that it has missed

Cause: a stream was told to all peers for 1.5 s after it was told first, and never again, whether or not anybody was heard meanwhile.

Change: what a VM tells has positions in a log of its process. Beacons name from where and up to where they tell; a peer that lacks what lies between asks for it, 1,000 streams at a time, ten times a second at most. Who lacks nothing asks for nothing. Beacons of earlier builds name no position.

--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -18,7 +18,7 @@
 // left to the caller.
 func Summarize(states []peer.Beacon) peer.Beacon {
 	s := peer.Beacon{ReplicaLoads: map[string]placement.Load{}, QueuedTokens: map[string]int{}, ServiceCalls: map[placement.CallClass]int{}, UnreachableReports: map[string]int{},
-		ReplicaLimits: map[string]quota.LimitReport{}, ColdReplicas: map[string]time.Duration{}, ServiceLoads: map[string]placement.ServiceLoad{}, Streams: resumption.Report{}, ListAge: -time.Millisecond, CheckAge: -time.Millisecond}
+		ReplicaLimits: map[string]quota.LimitReport{}, ColdReplicas: map[string]time.Duration{}, ServiceLoads: map[string]placement.ServiceLoad{}, Streams: resumption.Page{Streams: resumption.Report{}}, ListAge: -time.Millisecond, CheckAge: -time.Millisecond}
 	for _, b := range states {
 		s.Version = max(s.Version, b.Version)
 		addLoads(s, b)
@@ -27,8 +27,8 @@
 		s.TrialParts = append(s.TrialParts, b.TrialParts...)
 		s.ListAge, s.CheckAge = lowestAge(s.ListAge, b.ListAge), lowestAge(s.CheckAge, b.CheckAge)
 		addListPosition(&s, b)
-		for origin, names := range b.Streams {
-			s.Streams[origin] = append(s.Streams[origin], names...)
+		for origin, names := range b.Streams.Streams {
+			s.Streams.Streams[origin] = append(s.Streams.Streams[origin], names...)
 		}
 		s.EvacuationsEra, s.EvacuationsOffset = latest(s.EvacuationsEra, s.EvacuationsOffset, b.EvacuationsEra, b.EvacuationsOffset)
 	}
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -42,6 +42,9 @@
 	case peer.ScopeDeclarations, peer.ScopeDeclarationsRequest:
 		c.handleDeclarationsMessage(b, from)
 		return
+	case peer.ScopeStreams, peer.ScopeStreamsRequest:
+		c.handleStreamsMessage(b, from)
+		return
 	default:
 		c.handleSummary(b)
 		return
@@ -98,7 +101,7 @@
 	c.recordPeerCheck(now, b)
 	c.listSchedule.recordPeerChange(now, listPosition{b.ListEra, b.ListOffset})
 	c.confirmList(now, b)
-	c.streams.RecordPeer(now, b.Streams)
+	c.recordPeerStreams(now, b)
 	c.refreshIfNewer(now, b.VM, b.Version)
 	c.refreshIfEvacuationsChanged(now, b)
 }
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -89,6 +89,7 @@
 	declarations declarationFeed
 	regionRank   int
 	streams      *resumption.Tracker
+	receipts     *resumption.Receipts
 	// streamsBegun is signaled when streams have begun that are to be written to the store.
 	streamsBegun chan struct{}
 	limits       *quota.ReplicaLimits
@@ -150,7 +151,7 @@
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
 		isPathLost: func(string) bool { return false }, refreshDeclarations: func() {}, storeDelay: func() time.Duration { return 0 }, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
-		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), streamsBegun: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
+		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), receipts: resumption.NewReceipts(), streamsBegun: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -96,6 +96,8 @@
 	// tooYoung holds messages by which that was later.
 	listReadAt, checkedAt time.Time
 	tooYoung              []string
+	// messages counts the messages that were sent, by scope.
+	messages map[peer.Scope]int
 	// loss is the share of datagrams that are lost, and random decides which.
 	loss   float64
 	random *rand.Rand
@@ -110,7 +112,7 @@
 func newSimFleet(t testing.TB, vms, replicas int) *simFleet {
 	t.Helper()
 	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	f := &simFleet{random: rand.New(rand.NewPCG(1, 2)), t: t, now: begin, start: begin, listed: replicas, rewrittenAt: begin, byName: map[string]*simVM{}, byAddr: map[netip.AddrPort]*simVM{}, changes: map[uint64]placement.Replica{},
+	f := &simFleet{messages: map[peer.Scope]int{}, random: rand.New(rand.NewPCG(1, 2)), t: t, now: begin, start: begin, listed: replicas, rewrittenAt: begin, byName: map[string]*simVM{}, byAddr: map[netip.AddrPort]*simVM{}, changes: map[uint64]placement.Replica{},
 		between: map[string]*simLink{simNorth: {rate: simRegionBytesPerSecond}, simSouth: {rate: simRegionBytesPerSecond}}}
 	zones := []string{"a-south-1", "a-south-2", "a-south-3", "b-north-1", "b-north-2", "b-north-3"}
 	regions := map[string]string{}
@@ -286,6 +288,7 @@
 	data, err := peer.EncodeBeacon(b)
 	require.NoError(f.t, err)
 	f.checkAges(v, b)
+	f.messages[b.Scope]++
 	for _, addr := range to {
 		other := f.byAddr[addr.AddrPort()]
 		if f.random.Float64() < f.loss || v.cutFromPeers || other.cutFromPeers {
--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -169,15 +169,6 @@
 	c.streams.SetMemory(longest + resumeMargin)
 }
 
-// reportStreams returns the streams of this VM that peers have to know.
-func (c *Controller) reportStreams(now time.Time) resumption.Report {
-	several := c.poolsOfSeveralVersions()
-	if len(several) == 0 {
-		return nil
-	}
-	return c.streams.Report(now, several)
-}
-
 // poolsOfSeveralVersions returns the pools whose streams may have begun at several software versions.
 func (c *Controller) poolsOfSeveralVersions() []string {
 	return slices.DeleteFunc(c.scheduler.Pools(), func(pool string) bool { return !c.hasSeveralVersions(pool) })
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -37,6 +37,9 @@
 	// newer than Version.
 	ScopeDeclarations        Scope = "Declarations"
 	ScopeDeclarationsRequest Scope = "DeclarationsRequest"
+	// ScopeStreams is the scope of a page of streams, ScopeStreamsRequest that of a VM's request for those that it has missed.
+	ScopeStreams        Scope = "Streams"
+	ScopeStreamsRequest Scope = "StreamsRequest"
 )
 
 // Member is a VM of which a summary tells.
@@ -130,8 +133,9 @@
 	// ListNext is the offset up to which the VM knows the list, in era ListEra, and ListDigest the digest of the replicas that it
 	// lists. ListNext is 0 if the VM does not say.
 	ListNext, ListDigest uint64
-	// Streams holds streams that have lately begun in pools with replicas of several software versions.
-	Streams resumption.Report
+	// Streams holds streams that have lately begun in pools with replicas of several software versions, and in a request for streams the
+	// position from which on they are asked for.
+	Streams resumption.Page
 	// CheckAge is the time since the VM last checked the store for newer declarations, at the time of sending. It is
 	// negative if the VM never has.
 	CheckAge time.Duration
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -15,10 +15,7 @@
 const (
 	// defaultMemory is how long streams are remembered before SetMemory is called.
 	defaultMemory = 30 * time.Second
-	// tellPeriod is how long each stream is told to peers: some of their messages are lost.
-	tellPeriod = 1500 * time.Millisecond
-	// maxTold bounds the streams in one report, and maxRemembered those that are remembered.
-	maxTold       = 128
+	// maxRemembered bounds the streams that are remembered.
 	maxRemembered = 50_000
 )
 
@@ -46,10 +43,9 @@
 type begun struct {
 	origin Origin
 	at     time.Time
-	// own is whether it began at this VM, replica the ID of the replica at which it did, and toldFrom since when peers have been told of it.
-	own      bool
-	replica  string
-	toldFrom time.Time
+	// own is whether it began at this VM, and replica the ID of the replica at which it did.
+	own     bool
+	replica string
 }
 
 // recorded is a stream that was recorded at a time.
@@ -63,9 +59,11 @@
 	// memory is how long after it was last recorded a stream is remembered.
 	memory  time.Duration
 	streams map[uint64]*begun
-	// order holds the streams in the order in which they were recorded, and untold the names of those that peers are to be told of.
-	order  []recorded
+	// order holds the streams in the order in which they were recorded.
+	order []recorded
+	// untold holds the names of own streams that peers are still to be told of, and told those that they have been told of.
 	untold []uint64
+	told   toldLog
 	// lastServed is when the last replica of a version went, by origin.
 	lastServed map[Origin]time.Time
 	// historySince is since when all versions are known that have served. It is zero if those before are known too.
@@ -108,13 +106,10 @@
 	if known != nil && known.origin == origin && !own {
 		return
 	}
-	stream := &begun{origin: origin, at: now, own: own}
-	if known != nil && known.own && known.origin == origin {
-		stream.toldFrom = known.toldFrom
-	} else if own {
+	if own && (known == nil || !known.own || known.origin != origin) {
 		t.untold = append(t.untold, name)
 	}
-	t.streams[name] = stream
+	t.streams[name] = &begun{origin: origin, at: now, own: own}
 	t.order = append(t.order, recorded{name, now})
 }
 
@@ -200,30 +195,6 @@
 	return Origin{pool, versions[0]}, Known
 }
 
-// Report returns streams that have begun at this VM in some pools, to be told to peers. Streams of other pools are told once they are
-// among them.
-func (t *Tracker) Report(now time.Time, pools []string) Report {
-	t.expire(now)
-	report := Report{}
-	told := 0
-	t.untold = slices.DeleteFunc(t.untold, func(name uint64) bool {
-		stream := t.streams[name]
-		if stream == nil || !stream.own || !stream.toldFrom.IsZero() && now.Sub(stream.toldFrom) > tellPeriod {
-			return true
-		}
-		if told == maxTold || !slices.Contains(pools, stream.origin.Pool) {
-			return false
-		}
-		if stream.toldFrom.IsZero() {
-			stream.toldFrom = now
-		}
-		report[stream.origin] = append(report[stream.origin], name)
-		told++
-		return false
-	})
-	return report
-}
-
 // Own returns the newest streams, at most limit, that have begun at this VM in some pools and can still be resumed.
 func (t *Tracker) Own(now time.Time, pools []string, limit int) Report {
 	t.expire(now)
--- a/resumption/tracker_test.go
+++ b/resumption/tracker_test.go
@@ -73,20 +73,20 @@
 func TestStreamsAreToldToPeers(t *testing.T) {
 	tracker, peer := NewTracker(time.Time{}), NewTracker(time.Time{})
 	tracker.Begin(start, "a", "r", v1)
-	assert.Empty(t, tracker.Report(start, nil), "a single version")
+	assert.Empty(t, tracker.Report(start, nil).Streams, "a single version")
 	begin := start.Add(5 * time.Second)
 	tracker.Begin(begin, "b", "r", v2)
 	report := tracker.Report(begin, []string{pool})
-	assert.Equal(t, Report{v1: {nameOf("a")}, v2: {nameOf("b")}}, report, "those that began before there were several versions too")
-	peer.RecordPeer(begin, report)
+	assert.Equal(t, Report{v1: {nameOf("a")}, v2: {nameOf("b")}}, report.Streams, "those that began before there were several versions too")
+	peer.RecordPeer(begin, report.Streams)
 	assertOrigin(t, peer, begin, "a", nil, v1, Known)
-	assert.Empty(t, peer.Report(begin, []string{pool}), "peers do not pass on what they are told")
-	assert.NotEmpty(t, tracker.Report(begin.Add(tellPeriod), []string{pool}), "told again, since messages are lost")
-	assert.Empty(t, tracker.Report(begin.Add(tellPeriod+time.Millisecond), []string{pool}))
+	assert.Empty(t, peer.Report(begin, []string{pool}).Streams, "peers do not pass on what they are told")
+	assert.NotEmpty(t, tracker.Report(begin.Add(tellPeriod), []string{pool}).Streams, "told again, since messages are lost")
+	assert.Empty(t, tracker.Report(begin.Add(tellPeriod+time.Millisecond), []string{pool}).Streams)
 	for n := range 3 * maxTold {
 		tracker.Begin(begin, fmt.Sprint("many-", n), "r", v1)
 	}
-	assert.Len(t, tracker.Report(begin, []string{pool})[v1], maxTold)
+	assert.Len(t, tracker.Report(begin, []string{pool}).Streams[v1], maxTold)
 }
 
 func TestTrackerIsBounded(t *testing.T) {
@@ -157,7 +157,7 @@
 				}
 			},
 			"a VM tells": func(t *rapid.T) {
-				report := rapid.SampledFrom(vms).Draw(t, "from").Report(now, []string{pool})
+				report := rapid.SampledFrom(vms).Draw(t, "from").Report(now, []string{pool}).Streams
 				rapid.SampledFrom(vms).Draw(t, "to").RecordPeer(now, report)
 			},
 			"a VM restarts": func(t *rapid.T) {
@@ -200,5 +200,5 @@
 	for attempt, want := range map[string]Origin{"before": v1, "within": doubted, "elsewhere": v1, "of a peer": v1} {
 		assertOrigin(t, tracker, changed.Add(time.Second), attempt, []string{"v1"}, want, Known)
 	}
-	assert.Contains(t, tracker.Report(changed.Add(time.Second), []string{pool})[doubted], nameOf("within"), "peers are told")
+	assert.Contains(t, tracker.Report(changed.Add(time.Second), []string{pool}).Streams[doubted], nameOf("within"), "peers are told")
 }
