resumption: evidence from after a caller came, for a stream that is not known

Cause: a VM took an unknown stream up at the only version that it knew, if what it knew of the list of replicas was young (1.5 s), or if it heard all peers. Young is not from after the stream began. A VM that had run for more than 60 s counted peers that it had lost as no peers, so that it believed its list for as long as it was cut off from everybody. A read that ended before a change of which a peer had told, or before the end of the topic, made the VM up to date.

Change: a caller that takes up a stream which its VM does not know waits for evidence from after it came, as a read index gives it: a read of the list that was sent later, complete and not in doubt, or the word of all VMs that may serve. Peers are asked for the stream itself; while several versions serve, the records in the store are read too. One question and one read serve all that wait, and nobody asks for streams that are known.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -56,6 +56,8 @@
 	Next uint64
 	// Era is the era in which the offsets hold, or 0 if the store names none.
 	Era uint64
+	// Partial is whether the topic has more records after the range.
+	Partial bool
 }
 
 // Topic holds the functions that read one topic.
@@ -76,6 +78,10 @@
 	NextOffset uint64
 	// Era is the era in which the offsets hold, or 0 if the store names none.
 	Era uint64
+	// SentAt is when the read was sent, and Partial whether the topic had more records after the batch when it was answered. A batch that is
+	// not partial holds all that was written before SentAt.
+	SentAt  time.Time
+	Partial bool
 	// Restored is set if the store has come back from an older copy since the last snapshot. Records may then be older
 	// than those read before, and newer ones missing until their writers write them again.
 	Restored bool
@@ -248,7 +254,9 @@
 		case err == nil:
 			retry.Reset()
 			f.deliver(batch)
-			f.sleep(ctx, f.jitteredInterval())
+			if !batch.Partial || len(batch.Records) == 0 {
+				f.sleep(ctx, f.jitteredInterval())
+			}
 		case ctx.Err() != nil, errors.Is(err, errWokenUp), errors.Is(err, errPaused):
 		case f.isExpired(err), errors.Is(err, errRestored):
 			f.log.Info("topic-reread", zap.String("Topic", f.topic.Name), zap.Uint64("From", f.nextOffset), zap.Uint64("Era", f.era), zap.Error(err))
@@ -268,6 +276,14 @@
 
 // fetch reads a snapshot if the follower has no valid one, and the next records otherwise.
 func (f *Follower) fetch(ctx context.Context) (Batch, error) {
+	sentAt := f.now()
+	batch, err := f.read(ctx)
+	batch.SentAt = sentAt
+	return batch, err
+}
+
+// read is fetch without the time.
+func (f *Follower) read(ctx context.Context) (Batch, error) {
 	if !f.haveSnapshot {
 		callCtx, cancel := withProgressTimeout(ctx, callTimeout)
 		defer cancel()
@@ -327,7 +343,7 @@
 		return Batch{}, errRestored
 	}
 	f.nextOffset = found.Next
-	return Batch{Records: found.Records, NextOffset: found.Next, Era: found.Era}, nil
+	return Batch{Records: found.Records, NextOffset: found.Next, Era: found.Era, Partial: found.Partial}, nil
 }
 
 // deliver passes a batch to apply and ends an outage.
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -45,6 +45,9 @@
 	case peer.ScopeStreams, peer.ScopeStreamsRequest:
 		c.handleStreamsMessage(b, from)
 		return
+	case peer.ScopeStreamsQuestion, peer.ScopeStreamsAnswer:
+		c.handleStreamsQuestion(b, from)
+		return
 	default:
 		c.handleSummary(b)
 		return
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -90,11 +90,15 @@
 	regionRank   int
 	streams      *resumption.Tracker
 	receipts     *resumption.Receipts
+	inquiries    resumption.Inquiries
 	// streamsBegun is signaled when streams have begun that are to be written to the store.
 	streamsBegun chan struct{}
-	limits       *quota.ReplicaLimits
-	cold         *quota.ColdLimits
-	zones        zones
+	// recordsWanted is signaled when the records of all VMs' streams are to be read, which was last done by a read sent at recordsReadAt.
+	recordsWanted chan struct{}
+	recordsReadAt time.Time
+	limits        *quota.ReplicaLimits
+	cold          *quota.ColdLimits
+	zones         zones
 	// groups is what this VM knows of other groups, or nil if the fleet is not divided into groups.
 	groups *groupState
 	// invalidHeaders holds the invalid values of replicas' headers that were logged, by event and replica ID.
@@ -151,7 +155,7 @@
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
 		isPathLost: func(string) bool { return false }, refreshDeclarations: func() {}, storeDelay: func() time.Duration { return 0 }, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
-		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), receipts: resumption.NewReceipts(), streamsBegun: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
+		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), receipts: resumption.NewReceipts(), streamsBegun: make(chan struct{}, 1), recordsWanted: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
@@ -193,12 +197,14 @@
 	c.requestDeclarationsIfDue(now)
 	c.passDeclarationsOn(c.self.VM)
 	c.sendBeaconIfDue(now)
+	c.runInquiries(now)
 	return c.nextWake(now)
 }
 
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
 	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.pushDueIn(now), c.feed.queue.dueIn(now), c.declarationsCheckDueIn(now), c.declarationsRequestDueIn(now))
+	wake = c.inquiries.DueIn(now, wake)
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
 	}
--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -15,9 +15,6 @@
 	"github.com/cassiabridge/cassiabridge/resumption"
 )
 
-// doubtedVersion is the software version of streams of which it is not known. No replica has it, so they are not resumed.
-const doubtedVersion = "?"
-
 const (
 	// silentCheckInterval is how often a replica that did not answer is asked for its process again, and maxSilentChecks how many times.
 	// Together they last as long as the doubt about its software version.
@@ -120,7 +117,7 @@
 // reassignStreams records that streams which have begun at a replica since a time are of an unknown version, and tells peers. It returns
 // their number.
 func (c *Controller) reassignStreams(now time.Time, replica placement.Replica, since time.Time) int {
-	return c.giveStreams(now, replica, since, resumption.Origin{Pool: replica.Pool, Version: doubtedVersion})
+	return c.giveStreams(now, replica, since, resumption.Origin{Pool: replica.Pool, Version: resumption.DoubtedVersion})
 }
 
 // giveStreams gives the streams that have begun at a replica since a time an origin, and tells peers. It returns how many had another one.
--- a/gateway/doubted_versions_test.go
+++ b/gateway/doubted_versions_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/placement"
+	"github.com/cassiabridge/cassiabridge/resumption"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
 
@@ -87,7 +88,7 @@
 			s.control.recordStreams([]string{"begun-shortly-before"}, replica)
 			s.recordBroken(&request{http: &http.Request{}, info: RequestInfo{Attempt: "a"}}, replica, true)
 			assert.Equal(t, c.doubted, s.control.isVersionDoubted("r", began), "a stream that began shortly before")
-			assert.Equal(t, c.doubted, s.control.streamOrigin("begun-shortly-before", "p").Version == doubtedVersion)
+			assert.Equal(t, c.doubted, s.control.streamOrigin(t.Context(), "begun-shortly-before", "p").Version == resumption.DoubtedVersion)
 		})
 	}
 	t.Run("a silent process that answers later", func(t *testing.T) {
@@ -124,8 +125,8 @@
 			s.control.ApplyReplicas(ReplicaUpdate{Next: 2, Listed: []placement.Replica{renewed}, versions: map[string]EntryVersion{"r": {Born: 8}}})
 			assert.Equal(t, version != "v1", s.control.isVersionDoubted("r", began))
 			assert.False(t, s.control.isVersionDoubted("r", time.Now().Add(time.Minute)), "streams that begin later")
-			origin := s.control.streamOrigin("a", "p")
-			assert.Equal(t, version != "v1", origin.Version == doubtedVersion)
+			origin := s.control.streamOrigin(t.Context(), "a", "p")
+			assert.Equal(t, version != "v1", origin.Version == resumption.DoubtedVersion)
 		})
 	}
 }
--- a/gateway/fleet_simulation_store_test.go
+++ b/gateway/fleet_simulation_store_test.go
@@ -55,10 +55,11 @@
 		return
 	}
 	v.reading = true
+	sentAt := f.now
 	var update ReplicaUpdate
 	f.answer(v, func() int {
 		v.listReads++
-		update = ReplicaUpdate{Next: f.endOffset(), offsets: map[string]uint64{}, versions: map[string]EntryVersion{}, coldFor: map[string]time.Duration{}}
+		update = ReplicaUpdate{Next: f.endOffset(), CompleteAt: sentAt, offsets: map[string]uint64{}, versions: map[string]EntryVersion{}, coldFor: map[string]time.Duration{}}
 		records := update.Next - v.listNext
 		if !v.listSnapshot {
 			update.Snapshot, update.Listed, records = true, slices.Clone(f.replicas), uint64(len(f.replicas))
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -43,6 +43,10 @@
 	changed listPosition
 	// vmCount is the number of VMs, and readers how many of them read the list when it has changed.
 	vmCount, readers int
+	// completeAt is a time of which this VM has read all that was written to the list before.
+	completeAt time.Time
+	// told is the furthest position of a change of which a peer has told.
+	told listPosition
 	// stale is whether a peer has seen a change that this VM has not read, staleAt since when, and staleWait how long another VM
 	// is given to pass the change on.
 	stale     bool
@@ -66,7 +70,7 @@
 	if next.after(l.next) {
 		l.next = next
 	}
-	l.ranAt, l.stale = later(l.ranAt, now), false
+	l.ranAt, l.stale = later(l.ranAt, now), l.told.after(l.next)
 }
 
 // recordChange records that the list has changed before position changed.
@@ -81,6 +85,9 @@
 	if !changed.after(l.next) {
 		return
 	}
+	if changed.after(l.told) {
+		l.told = changed
+	}
 	if !l.stale {
 		l.staleAt = now
 	}
@@ -123,7 +130,7 @@
 		return
 	}
 	c.listSchedule.next.offset, c.listSchedule.confirmedAt = b.ListNext, now
-	c.listSchedule.stale = len(c.replicas.doubtful) > 0
+	c.listSchedule.stale = len(c.replicas.doubtful) > 0 || c.listSchedule.told.after(c.listSchedule.next)
 	c.advanceList(b.ListNext, b.ListEra)
 }
 
--- a/gateway/list_reads_test.go
+++ b/gateway/list_reads_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/cassiabridge/cassiabridge/follow"
+	"github.com/cassiabridge/cassiabridge/peer"
+	"github.com/cassiabridge/cassiabridge/placement"
 )
 
 // simulatedVM is one VM of a simulated cluster that reads the replica list.
@@ -136,3 +140,36 @@
 		})
 	}
 }
+
+// TestReadBeforeAToldChangeMakesAVMUpToDate guards against a VM that counts as up to date since it has read the list, though not up to the
+// change of which a peer has told.
+func TestReadBeforeAToldChangeMakesAVMUpToDate(t *testing.T) {
+	l := newListReadSchedule()
+	now := time.Now()
+	l.recordRead(now, listPosition{1, 5})
+	l.recordPeerChange(now, listPosition{1, 9})
+	l.recordRead(now, listPosition{1, 8})
+	assert.True(t, l.stale)
+	l.recordRead(now, listPosition{1, 9})
+	assert.False(t, l.stale)
+	l.recordPeerChange(now, listPosition{1, 20})
+	l.recordRead(now, listPosition{2, 3})
+	assert.False(t, l.stale, "positions of an era that is over")
+}
+
+// TestReplicaThatCameAndWentIsForgotten guards against a software version that is not known since the entry of its replica was removed before
+// it was read, and against an incomplete read that counts as evidence.
+func TestReplicaThatCameAndWentIsForgotten(t *testing.T) {
+	decode := func(id string, data []byte) (ReplicaEntry, error) {
+		return ReplicaEntry{Replica: placement.Replica{ID: id, Pool: "p", SoftwareVersion: string(data)}}, nil
+	}
+	sentAt := time.Now()
+	batch := follow.Batch{NextOffset: 4, SentAt: sentAt, Records: []follow.Record{{Key: "a", Value: []byte("v1")}, {Key: "b", Value: []byte("v2")}, {Key: "b"}}}
+	update := NewReplicaUpdate(batch, decode)
+	assert.Equal(t, sentAt, update.CompleteAt)
+	c := NewController(peer.Identity{VM: "vm", Incarnation: "x"}, "zone")
+	c.applyReplicas(c.now(), update)
+	assert.Equal(t, []string{"v1", "v2"}, c.findOrigin(c.now(), "begun-elsewhere", "p", true).versions)
+	batch.Partial = true
+	assert.Zero(t, NewReplicaUpdate(batch, decode).CompleteAt)
+}
--- a/gateway/process_evidence_test.go
+++ b/gateway/process_evidence_test.go
@@ -138,7 +138,7 @@
 	s.recordProcess(replica, processSilent)
 	s.control.recordStreams([]string{"a"}, replica)
 	require.Eventually(t, func() bool { return !s.control.isVersionDoubted("r", time.Now().Add(time.Minute)) }, 3*time.Second, 50*time.Millisecond)
-	assert.Equal(t, "v1", s.control.streamOrigin("a", "p").Version, "the process of the entry has been found to live since")
+	assert.Equal(t, "v1", s.control.streamOrigin(t.Context(), "a", "p").Version, "the process of the entry has been found to live since")
 }
 
 // TestStartThatGoesBackKeepsADoubt guards against a process whose clock is behind that of the one before, and that stays in doubt though its entry names it.
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -49,6 +49,10 @@
 	Restored bool
 	// Next is the offset after the last record that was read, in an era of the store.
 	Era, Next uint64
+	// CompleteAt is a time of which the update holds all that was written before, or zero if it does not hold all of any.
+	CompleteAt time.Time
+	// Passed holds replicas whose entries were written and removed again since the last update.
+	Passed []placement.Replica
 	// offsets maps the ID of each replica to the offset of its entry.
 	offsets map[string]uint64
 	// versions maps the ID of each listed replica to the version of its entry, and coldFor that of each cold one to how much
@@ -60,8 +64,12 @@
 // NewReplicaUpdate decodes a batch of the replica list. Only the newest record of each replica counts.
 func NewReplicaUpdate(batch follow.Batch, decode func(id string, data []byte) (ReplicaEntry, error)) ReplicaUpdate {
 	update := ReplicaUpdate{Snapshot: batch.Snapshot, Outage: batch.Outage, Restored: batch.Restored, Era: batch.Era, Next: batch.NextOffset, offsets: map[string]uint64{}, versions: map[string]EntryVersion{}, coldFor: map[string]time.Duration{}}
+	if !batch.Partial {
+		update.CompleteAt = batch.SentAt
+	}
 	newest := map[string]follow.Record{}
 	for _, record := range batch.Records {
+		update.addPassed(newest[record.Key], record, decode)
 		newest[record.Key] = record
 	}
 	// If two replicas have the same address, the one with the later entry is alive, so entries are applied in the order of
@@ -89,12 +97,26 @@
 	return update
 }
 
+// addPassed adds the replica of an entry that the next record of its key removes. Its software version may be known from nowhere else.
+func (u *ReplicaUpdate) addPassed(entry, next follow.Record, decode func(id string, data []byte) (ReplicaEntry, error)) {
+	if len(entry.Value) == 0 || len(next.Value) > 0 {
+		return
+	}
+	if passed, err := decode(entry.Key, entry.Value); err == nil {
+		u.Passed = append(u.Passed, passed.Replica)
+	}
+}
+
 // ApplyReplicas applies an update of the replica list to the scheduler.
 func (c *Controller) ApplyReplicas(update ReplicaUpdate) {
 	c.post(func() { c.applyReplicas(c.now(), update) })
 }
 
 func (c *Controller) applyReplicas(now time.Time, update ReplicaUpdate) {
+	c.listSchedule.completeAt = later(c.listSchedule.completeAt, update.CompleteAt)
+	for _, passed := range update.Passed {
+		c.recordVersionGone(now, passed)
+	}
 	changed := c.applyList(now, now, update)
 	c.feedUpdate(now, changed, c.listSchedule.tookOver)
 }
--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -16,9 +18,6 @@
 	resumeMargin = 5 * time.Second
 	// unknownStreamRetryAfter is the Retry-After of a caller that resumes a stream of which this VM has not heard yet.
 	unknownStreamRetryAfter = 300 * time.Millisecond
-	// listFreshness is the age up to which what is known of the list of replicas counts as current. The list is read every
-	// listReadInterval, and beacons tell of that.
-	listFreshness = 1500 * time.Millisecond
 )
 
 // originOf returns the origin of a replica's streams.
@@ -39,11 +38,12 @@
 
 // resolveOrigin restricts a request that takes up a stream to the software version that began it. It returns an error if that is
 // not known: what another version writes does not fit.
-func (s *Server) resolveOrigin(r *request) *Error {
+func (s *Server) resolveOrigin(ctx context.Context, r *request) *Error {
 	if !r.resumesStream() {
 		return nil
 	}
-	origin := s.control.streamOrigin(r.info.Resumes, r.pool.Name)
+	origin := s.control.streamOrigin(ctx, r.info.Resumes, r.pool.Name)
+	s.metrics.StreamOrigins.WithLabelValues(cmp.Or(string(origin.unknown), "Known")).Inc()
 	fields := []zap.Field{zap.String("Request", r.info.Attempt), zap.String("Resumes", r.info.Resumes), zap.String("Pool", r.pool.Name), zap.Strings("Versions", origin.versions)}
 	if origin.unknown != resumption.Known {
 		s.log.Info("stream-origin-unknown", append(fields, zap.String("Reason", string(origin.unknown)))...)
@@ -76,7 +76,7 @@
 	c.post(func() {
 		origin := originOf(from)
 		if c.scheduler.VersionDoubted(c.now(), from.ID, c.now()) {
-			origin.Version = doubtedVersion
+			origin.Version = resumption.DoubtedVersion
 		}
 		for _, attempt := range attempts {
 			c.streams.Begin(c.now(), attempt, from.ID, origin)
@@ -86,41 +86,14 @@
 	})
 }
 
-// streamOrigin returns where the stream that an attempt began in a pool may go on.
-func (c *Controller) streamOrigin(attempt, pool string) knownOrigin {
-	return ask(c, func() knownOrigin { return c.findOrigin(c.now(), attempt, pool) })
-}
-
-// findOrigin is streamOrigin for the control goroutine.
-func (c *Controller) findOrigin(now time.Time, attempt, pool string) knownOrigin {
-	c.noticeStall(now)
+// findOrigin returns where the stream that an attempt began in a pool may go on. current is whether all versions are known at which it may have
+// begun.
+func (c *Controller) findOrigin(now time.Time, attempt, pool string, current bool) knownOrigin {
 	listed := c.scheduler.SoftwareVersions(pool)
-	origin, unknown := c.streams.OriginOf(now, attempt, pool, listed, c.knowsList(now))
+	origin, unknown := c.streams.OriginOf(now, attempt, pool, listed, current)
 	return knownOrigin{origin, unknown, c.streams.Versions(now, pool, listed)}
 }
 
-// knowsList reports whether this VM would have heard of a replica that has joined more than listFreshness ago: somebody has read the list
-// since, or nobody can and all peers are heard.
-func (c *Controller) knowsList(now time.Time) bool {
-	switch {
-	case c.readList == nil:
-		return true
-	case c.listSchedule.stale:
-		return false
-	}
-	return now.Sub(later(c.listSchedule.ranAt, c.listSchedule.peerRanAt)) <= listFreshness || c.hearsAllPeers(now)
-}
-
-// hearsAllPeers reports whether all VMs are heard that this one knows.
-func (c *Controller) hearsAllPeers(now time.Time) bool {
-	for _, p := range c.peers {
-		if p.silent && now.Sub(p.listedAt) <= peerExpiry || !p.silent && now.Sub(p.lastBeaconAt) > listFreshness {
-			return false
-		}
-	}
-	return true
-}
-
 // hasSeveralVersions reports whether streams of a pool that can still be resumed may have begun at several software versions.
 func (c *Controller) hasSeveralVersions(pool string) bool {
 	return len(c.streams.Versions(c.now(), pool, c.scheduler.SoftwareVersions(pool))) > 1
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -154,7 +154,7 @@
 	if reqErr := s.resolve(r); reqErr != nil {
 		return reqErr
 	}
-	if reqErr := s.resolveOrigin(r); reqErr != nil {
+	if reqErr := s.resolveOrigin(ctx, r); reqErr != nil {
 		return reqErr
 	}
 	if reqErr := s.checkStopping(r); reqErr != nil {
--- /dev/null
+++ b/gateway/stream_inquiries.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiabridge/cassiabridge/peer"
+	"github.com/cassiabridge/cassiabridge/resumption"
+)
+
+// streamOrigin returns where the stream that an attempt began in a pool may go on. If this VM does not remember the stream, it asks its peers
+// and the list of replicas, and waits for what they say until ctx is done.
+func (c *Controller) streamOrigin(ctx context.Context, attempt, pool string) knownOrigin {
+	found := make(chan knownOrigin, 1)
+	c.post(func() { c.inquire(attempt, pool, func(origin knownOrigin) { found <- origin }) })
+	select {
+	case origin := <-found:
+		return origin
+	case <-ctx.Done():
+		return knownOrigin{unknown: resumption.Outdated}
+	}
+}
+
+// inquire has decide called with where the stream that an attempt began in a pool may go on.
+func (c *Controller) inquire(attempt, pool string, decide func(knownOrigin)) {
+	now := c.now()
+	c.noticeStall(now)
+	if c.readList == nil || c.streams.Remembers(now, attempt) {
+		decide(c.findOrigin(now, attempt, pool, true))
+		return
+	}
+	audience := c.audience(now)
+	if c.storeLost && len(audience.Heard) == 0 && !audience.Alone {
+		// There is nobody to ask.
+		decide(c.findOrigin(now, attempt, pool, false))
+		return
+	}
+	c.inquiries.Open(now, attempt, pool, func(current bool) {
+		c.log.Info("stream-inquired", zap.String("Attempt", attempt), zap.Bool("Current", current), zap.Duration("Waited", c.now().Sub(now)))
+		decide(c.findOrigin(c.now(), attempt, pool, current))
+	})
+}
+
+// runInquiries asks the peers and the store what callers wait for, and decides the inquiries for which there is evidence.
+func (c *Controller) runInquiries(now time.Time) {
+	if !c.inquiries.Any() {
+		return
+	}
+	audience := c.audience(now)
+	if question, due := c.inquiries.TakeQuestion(now, audience); due {
+		message := c.newMessage(peer.ScopeStreamsQuestion)
+		message.Question = &question
+		c.sendSummary(message, c.addressesOf(append(audience.Heard, audience.Silent...)))
+		if c.replicas.everRead {
+			c.listSchedule.requestedAt = now
+			c.readList()
+		}
+	}
+	if c.inquiries.TakeRecordsWanted(c.hasSeveralVersions) {
+		notify(c.recordsWanted)
+	}
+	evidence := resumption.Evidence{ListReadAt: c.listSchedule.completeAt, RecordsReadAt: c.recordsReadAt, SeveralVersions: c.hasSeveralVersions,
+		Remembers: func(attempt string) bool { return c.streams.Remembers(now, attempt) }}
+	if evidence.ListReadAt.Before(c.replicas.trustFrom) {
+		// Entries may have been missing from the list.
+		evidence.ListReadAt = time.Time{}
+	}
+	c.inquiries.Settle(now, evidence)
+}
+
+// notify sends to a channel of capacity 1 without blocking. If a signal is pending already, it does nothing.
+func notify(signals chan<- struct{}) {
+	select {
+	case signals <- struct{}{}:
+	default:
+	}
+}
+
+// audience returns the peers that may know of streams: all but those that have stopped, or have not been heard for long.
+func (c *Controller) audience(now time.Time) resumption.Audience {
+	audience := resumption.Audience{Alone: len(c.peers) == 0 && c.vmListRead}
+	for name, p := range c.peers {
+		switch {
+		case !p.silent && !p.lastBeaconAt.IsZero():
+			audience.Heard = append(audience.Heard, name)
+		case !p.leaving && now.Sub(later(p.lastBeaconAt, p.listedAt)) <= peerExpiry:
+			audience.Silent = append(audience.Silent, name)
+		}
+	}
+	return audience
+}
+
+// handleStreamsQuestion answers a peer that asks for streams, or records such an answer.
+func (c *Controller) handleStreamsQuestion(b peer.Beacon, from netip.AddrPort) {
+	p := c.peers[b.VM]
+	if p == nil || !sameAddress(p.address, from) {
+		return
+	}
+	now := c.now()
+	switch {
+	case b.Question != nil:
+		message := c.newMessage(peer.ScopeStreamsAnswer)
+		message.Answer = &resumption.Answer{ID: b.Question.ID, Streams: c.streams.Find(now, b.Question.Names), Versions: c.streamVersions()}
+		c.sendSummary(message, []peerAddress{p.address})
+	case b.Answer != nil:
+		c.streams.RecordFound(now, b.Answer.Streams)
+		c.recordPeerVersions(now, b.Answer.Versions)
+		c.inquiries.RecordAnswer(b.Answer.ID, b.VM)
+	}
+}
+
+// recordPeerVersions records software versions of which a peer knows and that this VM does not list: streams may have begun at them.
+func (c *Controller) recordPeerVersions(now time.Time, versions map[string][]string) {
+	for pool, names := range versions {
+		known := c.streams.Versions(now, pool, c.scheduler.SoftwareVersions(pool))
+		for _, version := range names {
+			if !slices.Contains(known, version) {
+				c.streams.RecordGone(now, resumption.Origin{Pool: pool, Version: version})
+			}
+		}
+	}
+}
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -40,6 +40,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.recordsWanted:
+			c.readStreams(ctx, store)
+			continue
 		case <-c.streamsBegun:
 		case <-cleanTimer(written):
 		}
@@ -78,6 +81,30 @@
 	}
 }
 
+// readStreams reads the records of all VMs' streams again: their owners may have ended before they told of them.
+func (c *Controller) readStreams(ctx context.Context, store StreamStore) {
+	sentAt := c.now()
+	callCtx, cancel := context.WithTimeout(ctx, streamStoreTimeout)
+	defer cancel()
+	records, err := store.Newest(callCtx)
+	if err != nil {
+		c.log.Info("streams-not-read", zap.Error(err))
+		return
+	}
+	found := 0
+	for _, record := range records {
+		var report resumption.Report
+		if err := json.Unmarshal(record.Value, &report); err != nil {
+			c.log.Warn("streams-unreadable", zap.String("Peer", record.Key), zap.Error(err))
+			continue
+		}
+		found++
+		c.post(func() { c.streams.RecordFound(c.now(), report) })
+	}
+	c.post(func() { c.recordsReadAt = sentAt })
+	c.log.Info("streams-read", zap.Int("VMs", found))
+}
+
 // applyStreamRecords remembers the streams of all VMs, and returns the record of this VM.
 func (c *Controller) applyStreamRecords(records []follow.Record) (own string) {
 	for _, record := range records {
@@ -134,8 +161,5 @@
 	if len(c.poolsOfSeveralVersions()) == 0 {
 		return
 	}
-	select {
-	case c.streamsBegun <- struct{}{}:
-	default:
-	}
+	notify(c.streamsBegun)
 }
--- a/gateway/stream_records_test.go
+++ b/gateway/stream_records_test.go
@@ -75,7 +75,7 @@
 	knows := func(c *Controller, attempt, version string) {
 		t.Helper()
 		require.Eventually(t, func() bool {
-			origin := c.streamOrigin(attempt, "p")
+			origin := c.streamOrigin(t.Context(), attempt, "p")
 			return origin.unknown == resumption.Known && origin.Version == version
 		}, 5*time.Second, 10*time.Millisecond)
 	}
@@ -94,6 +94,23 @@
 	}
 }
 
+// TestStreamsOfAKilledVMAreReadOnDemand guards against streams of a VM that was killed before any other VM heard of them, and that are refused
+// although its record in the store names them.
+func TestStreamsOfAKilledVMAreReadOnDemand(t *testing.T) {
+	t.Parallel()
+	records := &streamRecords{values: map[string]string{}}
+	c := records.runVM(t, "vm", "v1", "v2")
+	ask(c, func() bool {
+		c.readList = func() { go c.ApplyReplicas(ReplicaUpdate{Next: 1, CompleteAt: c.now()}) }
+		return true
+	})
+	require.Equal(t, resumption.SeveralVersions, c.streamOrigin(t.Context(), "a", "p").unknown)
+	killed := records.runVM(t, "killed", "v1", "v2")
+	killed.recordStreams([]string{"a"}, placement.Replica{Pool: "p", SoftwareVersion: "v2"})
+	require.Eventually(t, func() bool { return records.value("killed") != "" }, 5*time.Second, 10*time.Millisecond)
+	assert.Equal(t, "v2", c.streamOrigin(t.Context(), "a", "p").Version)
+}
+
 // TestStreamsOfASingleVersionAreWritten guards against writes that nobody needs.
 func TestStreamsOfASingleVersionAreWritten(t *testing.T) {
 	records := &streamRecords{values: map[string]string{}}
--- a/gateway/told_streams_test.go
+++ b/gateway/told_streams_test.go
@@ -42,7 +42,7 @@
 			for _, mate := range v.currentGroups().mates {
 				other := f.byName[mate]
 				for n := range streams {
-					origin := other.findOrigin(f.now, fmt.Sprint("stream-", n), "p")
+					origin := other.findOrigin(f.now, fmt.Sprint("stream-", n), "p", true)
 					assert.Equal(t, resumption.Known, origin.unknown, "stream %d at %s", n, other.self.VM)
 					assert.Equal(t, "v2", origin.Version)
 				}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -25,6 +25,8 @@
 	UpstreamFailures *prometheus.CounterVec
 	// ConfirmedEnds counts bodies without framing that ended in an orderly way, by what was found of the process that was asked.
 	ConfirmedEnds *prometheus.CounterVec
+	// StreamOrigins counts the requests that take a stream up, by what is known of its origin: Known, or the reason for which it is refused.
+	StreamOrigins *prometheus.CounterVec
 	// MisplacedEvents counts events of streams that do not follow those before them, by pool and kind.
 	MisplacedEvents *prometheus.CounterVec
 	// Connections counts connections opened to upstreams.
@@ -66,6 +68,7 @@
 		Retries:             newCounterVec("repeats_total", "Requests sent to a further upstream.", "pool"),
 		UpstreamFailures:    newCounterVec("upstream_failures_total", "Failed exchanges with upstreams.", "pool", "kind"),
 		ConfirmedEnds:       newCounterVec("unframed_ends_total", "Bodies without framing that seemed to end.", "process"),
+		StreamOrigins:       newCounterVec("stream_origins_total", "Requests that take a stream up, by what is known of its origin.", "origin"),
 		MisplacedEvents:     newCounterVec("misplaced_events_total", "Events of streams that do not follow those before them.", "pool", "kind"),
 		Connections:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_total", Help: "Connections opened to upstreams."}),
 		RelayedConnections:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "upstream_connections_relayed_total", Help: "Connections to upstreams opened through other VMs."}),
@@ -79,7 +82,7 @@
 		StoreBytes:          newCounterVec("store_read_bytes_total", "Bytes of the store's answers.", "topic"),
 		LogLinesDropped:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines that were left out."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures, m.ConfirmedEnds, m.MisplacedEvents,
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.EngineWait, m.PrefillTokens, m.WastedPrefillTokens, m.Retries, m.UpstreamFailures, m.ConfirmedEnds, m.StreamOrigins, m.MisplacedEvents,
 		m.Connections, m.RelayedConnections, m.Version, m.QuarantinedParts, m.ColdReplicas, m.EvacuatedZones, m.BusyRefusals, m.PeerBytes, m.EventDelay, m.StoreBytes, m.LogLinesDropped)
 	return m
 }
--- a/peer/beacon.go
+++ b/peer/beacon.go
@@ -40,6 +40,9 @@
 	// ScopeStreams is the scope of a page of streams, ScopeStreamsRequest that of a VM's request for those that it has missed.
 	ScopeStreams        Scope = "Streams"
 	ScopeStreamsRequest Scope = "StreamsRequest"
+	// ScopeStreamsQuestion is the scope of a question for streams that a VM does not know, ScopeStreamsAnswer that of its answer.
+	ScopeStreamsQuestion Scope = "StreamsQuestion"
+	ScopeStreamsAnswer   Scope = "StreamsAnswer"
 )
 
 // Member is a VM of which a summary tells.
@@ -136,6 +139,9 @@
 	// Streams holds streams that have lately begun in pools with replicas of several software versions, and in a request for streams the
 	// position from which on they are asked for.
 	Streams resumption.Page
+	// Question is set in a question for streams, and Answer in its answer.
+	Question *resumption.Question
+	Answer   *resumption.Answer
 	// CheckAge is the time since the VM last checked the store for newer declarations, at the time of sending. It is
 	// negative if the VM never has.
 	CheckAge time.Duration
--- a/peer/beacon_message.go
+++ b/peer/beacon_message.go
@@ -55,8 +55,10 @@
 	ListDigest      uint64            `json:",omitempty"`
 	Streams         resumption.Report `json:",omitempty"`
 	// StreamsNext is 0 in beacons of versions that tell each stream for a time only.
-	StreamsFrom uint64 `json:",omitempty"`
-	StreamsNext uint64 `json:",omitempty"`
+	StreamsFrom uint64               `json:",omitempty"`
+	StreamsNext uint64               `json:",omitempty"`
+	Question    *resumption.Question `json:",omitempty"`
+	Answer      *resumption.Answer   `json:",omitempty"`
 	// CheckedMillis is nil in beacons of versions that do not check for newer declarations.
 	CheckedMillis *int64 `json:",omitempty"`
 }
@@ -158,7 +160,7 @@
 	return beaconMessage{
 		VM: b.VM, Incarnation: b.Incarnation, Sequence: b.Sequence, UptimeMillis: b.Uptime.Milliseconds(), Version: b.Version, Zone: b.AvailabilityZone, Scope: b.Scope, Format: b.Format, Capabilities: b.Capabilities, Forwarded: b.Forwarded, Members: convertAll(b.Members, newMemberMessage), Reports: b.UnreachableReports, VMCount: b.VMCount, Leaving: b.Leaving, StoreDistance: b.StoreDistance,
 		Waiting: b.QueuedTokens, Spent: b.SpentTokens, Levels: b.BucketLevels, Replaced: b.ReplacedReplicas, Unreachable: b.UnreachableReplicas,
-		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, ListEra: b.ListEra, ListNext: b.ListNext, ListDigest: b.ListDigest, Streams: b.Streams.Streams, StreamsFrom: b.Streams.From, StreamsNext: b.Streams.Next, CheckedMillis: &checked,
+		Trials: b.TrialParts, ListReadMillis: b.ListAge.Milliseconds(), ListChanged: b.ListOffset, ListEra: b.ListEra, ListNext: b.ListNext, ListDigest: b.ListDigest, Streams: b.Streams.Streams, StreamsFrom: b.Streams.From, StreamsNext: b.Streams.Next, Question: b.Question, Answer: b.Answer, CheckedMillis: &checked,
 		Loads:          mapValues(b.ReplicaLoads, func(load placement.Load) [2]int { return [2]int{load.Requests, load.Tokens} }),
 		Suspects:       mapValues(b.Suspects, func(e quarantine.Evidence) suspectMessage { return suspectMessage(e) }),
 		EvacuationsEra: b.EvacuationsEra, Evacuations: b.EvacuationsOffset,
@@ -178,7 +180,7 @@
 	return Beacon{
 		VM: m.VM, Incarnation: m.Incarnation, Sequence: m.Sequence, Uptime: millis(m.UptimeMillis), Version: m.Version, AvailabilityZone: m.Zone, Scope: m.Scope, Format: m.Format, Capabilities: m.Capabilities, Forwarded: m.Forwarded, Members: convertAll(m.Members, memberMessage.member), UnreachableReports: m.Reports, VMCount: m.VMCount, Leaving: m.Leaving, StoreDistance: m.StoreDistance, CutOff: m.CutOff,
 		QueuedTokens: m.Waiting, SpentTokens: m.Spent, BucketLevels: m.Levels, ReplacedReplicas: m.Replaced, UnreachableReplicas: m.Unreachable,
-		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra, ListNext: m.ListNext, ListDigest: m.ListDigest, Streams: resumption.Page{From: m.StreamsFrom, Next: m.StreamsNext, Streams: m.Streams}, CheckAge: millis(checked),
+		TrialParts: m.Trials, ListAge: millis(m.ListReadMillis), ListOffset: m.ListChanged, ListEra: m.ListEra, ListNext: m.ListNext, ListDigest: m.ListDigest, Streams: resumption.Page{From: m.StreamsFrom, Next: m.StreamsNext, Streams: m.Streams}, Question: m.Question, Answer: m.Answer, CheckAge: millis(checked),
 		ReplicaLoads:   mapValues(m.Loads, func(load [2]int) placement.Load { return placement.Load{Requests: load[0], Tokens: load[1]} }),
 		Suspects:       mapValues(m.Suspects, func(s suspectMessage) quarantine.Evidence { return quarantine.Evidence(s) }),
 		EvacuationsEra: m.EvacuationsEra, EvacuationsOffset: m.Evacuations, ColdReplicas: mapValues(m.ColdMillis, millis), ServiceLoads: mapValues(m.Services, serviceLoad), ServiceCalls: serviceCalls(m.Calls),
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -19,6 +19,9 @@
 	maxRemembered = 50_000
 )
 
+// DoubtedVersion is the version of streams of which it is not known. No replica has it, so they are not resumed.
+const DoubtedVersion = "?"
+
 // Origin is where a stream began.
 type Origin struct {
 	Pool, Version string
@@ -177,9 +180,8 @@
 // OriginOf returns where the stream that an attempt began may go on. If the stream is not remembered, it is one of a pool, of which
 // listed holds the versions that serve now, as far as is known. current is whether those are all.
 func (t *Tracker) OriginOf(now time.Time, attempt, pool string, listed []string, current bool) (Origin, Unknown) {
-	t.expire(now)
-	if known := t.streams[nameOf(attempt)]; known != nil && attempt != "" {
-		return known.origin, Known
+	if t.Remembers(now, attempt) {
+		return t.streams[nameOf(attempt)].origin, Known
 	}
 	versions := t.Versions(now, pool, listed)
 	switch {
@@ -195,6 +197,24 @@
 	return Origin{pool, versions[0]}, Known
 }
 
+// Find returns the streams with some names that are remembered.
+func (t *Tracker) Find(now time.Time, names []uint64) Report {
+	t.expire(now)
+	found := Report{}
+	for _, name := range names {
+		if stream := t.streams[name]; stream != nil {
+			found[stream.origin] = append(found[stream.origin], name)
+		}
+	}
+	return found
+}
+
+// Remembers reports whether it is known where the stream that an attempt began may go on.
+func (t *Tracker) Remembers(now time.Time, attempt string) bool {
+	t.expire(now)
+	return attempt != "" && t.streams[nameOf(attempt)] != nil
+}
+
 // Own returns the newest streams, at most limit, that have begun at this VM in some pools and can still be resumed.
 func (t *Tracker) Own(now time.Time, pools []string, limit int) Report {
 	t.expire(now)
@@ -221,6 +241,18 @@
 	}
 }
 
+// RecordFound records the streams that were found when it was asked for some. What is remembered may be newer and holds, unless its version is
+// in doubt elsewhere.
+func (t *Tracker) RecordFound(now time.Time, report Report) {
+	for origin, names := range report {
+		for _, name := range names {
+			if t.streams[name] == nil || origin.Version == DoubtedVersion {
+				t.record(now, name, origin, false)
+			}
+		}
+	}
+}
+
 // RecordPeer records the streams that a peer has told of.
 func (t *Tracker) RecordPeer(now time.Time, report Report) {
 	for origin, names := range report {
