gateway: an end that is read after a stall needs proof of the process

Cause: a plain replica refuses to name its process, and any answer of its ID confirms the end of an answer without framing. A VM that stood still asks only when the next process answers.

Change: if the VM has stood still since the answer began, the process must write a further entry after the end (package liveness); another start, or no entry in the caller's time, and the answer is truncated. Nothing changes without a stall.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -91,6 +91,7 @@
 	streams      *resumption.Tracker
 	receipts     *resumption.Receipts
 	inquiries    resumption.Inquiries
+	watches      entryWatches
 	// streamsBegun is signaled when streams have begun that are to be written to the store.
 	streamsBegun chan struct{}
 	// recordsWanted is signaled when the records of all VMs' streams are to be read, which was last done by a read sent at recordsReadAt.
@@ -198,12 +199,13 @@
 	c.passDeclarationsOn(c.self.VM)
 	c.sendBeaconIfDue(now)
 	c.runInquiries(now)
+	c.readWatchedEntries(now)
 	return c.nextWake(now)
 }
 
 // nextWake returns how long the event loop may sleep if no event arrives.
 func (c *Controller) nextWake(now time.Time) time.Duration {
-	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.pushDueIn(now), c.feed.queue.dueIn(now), c.declarationsCheckDueIn(now), c.declarationsRequestDueIn(now))
+	wake := min(c.beaconDueIn(now), c.summariesDueIn(now), c.listReadDueIn(now), c.listRequestDueIn(now), c.pushDueIn(now), c.feed.queue.dueIn(now), c.declarationsCheckDueIn(now), c.declarationsRequestDueIn(now), c.watchesDueIn(now))
 	wake = c.inquiries.DueIn(now, wake)
 	if c.scheduler.QueueLength() > 0 {
 		wake = min(wake, waitingPollInterval)
--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -227,6 +227,10 @@
 		beganAt := s.control.now()
 		answer := s.awaitProcess(ctx, from)
 		state := answer.stateOf(from.Born)
+		if state == processUnnamed && s.control.namesProcesses(from) && s.control.stoodStillSince(r.answer.startedAt) {
+			// The process that answered may have started after the end that is read only now.
+			state = s.control.awaitEntry(ctx, from)
+		}
 		s.metrics.ConfirmedEnds.WithLabelValues(string(state)).Inc()
 		s.log.Info("unframed-end-checked", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("Process", string(state)),
 			zap.Int64("KnownBorn", from.Born), zap.Int64("Born", answer.born), zap.Int("Status", answer.status), zap.Duration("Took", s.control.now().Sub(beganAt)), zap.Error(answer.err))
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -118,6 +118,7 @@
 		c.recordVersionGone(now, passed)
 	}
 	changed := c.applyList(now, now, update)
+	c.decideWatches(update.CompleteAt)
 	c.feedUpdate(now, changed, c.listSchedule.tookOver)
 }
 
