gateway: two engines must say that nothing is left of a stream

Cause: an answer that goes on with a stream and holds no event was no resumption only if the VM had begun the answer; for a caller that takes a stream up its frame was believed.

Change: the next engine is asked, within attempts and budget, and the stream is whole if that says the same. The first engine is not counted as failing.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -68,7 +68,7 @@
 	switch {
 	case isTruncated(resp, started, rest):
 		return resp.TruncatedError()
-	case w.started && events.Joining():
+	case events.Joining():
 		return errNoResumption
 	case w.started && w.framing != exchange.FramedByConn && w.upstreamFraming != exchange.FramedByConn && resp.Framing == exchange.FramedByConn:
 		return errEndUnknown
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -38,6 +38,8 @@
 	r      *request
 	// events follows the stream events that the caller gets.
 	events eventstream.Sequence
+	// emptyAnswers is the number of engines that had no event left for a caller which takes a stream up.
+	emptyAnswers int
 	// prefilled is set once a prefill for this request has succeeded.
 	prefilled bool
 }
--- a/gateway/resumable_stream.go
+++ b/gateway/resumable_stream.go
@@ -12,6 +12,9 @@
 	"github.com/cassiabridge/cassiabridge/placement"
 )
 
+// agreeingEngines is the number of engines that must say that nothing is left of a stream which a caller takes up.
+const agreeingEngines = 2
+
 // relayStream relays the stream of a decode engine in complete events, so that another engine can go on with a stream that breaks. The
 // return values are those of try.
 func (g *generation) relayStream(ctx context.Context, from placement.Replica, resp *exchange.Response) (*Error, attempt.Step) {
@@ -25,6 +28,9 @@
 	last := g.events.LastID()
 	g.events.BeginAnswer()
 	err := r.w.copyEvents(resp, &g.events)
+	if errors.Is(err, errNoResumption) && g.isWhole() {
+		err = nil
+	}
 	if last != "" && !g.events.Joining() {
 		s.log.Info("stream-joined", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("SoftwareVersion", from.SoftwareVersion),
 			zap.String("LastEvent", last), zap.String("FirstEvent", g.events.FirstID()))
@@ -43,6 +49,13 @@
 	return g.endBrokenStream(ctx, from, resp, err)
 }
 
+// isWhole records that an engine has no event left for a caller that takes a stream up, and reports whether the caller has the whole stream. One
+// engine may have truncated its answer, so it takes two.
+func (g *generation) isWhole() bool {
+	g.emptyAnswers++
+	return !g.r.w.started && g.emptyAnswers >= agreeingEngines
+}
+
 // endBrokenStream handles a stream that broke off, or that does not go on where it should. The return values are those of try.
 func (g *generation) endBrokenStream(ctx context.Context, from placement.Replica, resp *exchange.Response, err error) (*Error, attempt.Step) {
 	s, r := g.server, g.r
@@ -54,6 +67,8 @@
 	case errors.Is(err, errEndUnknown), misplaced && !g.events.Followed():
 		// No other engine would tell more than this one, or the caller has named an event after which no engine goes on.
 		return s.forwardError(ctx, r, err), attempt.End
+	case errors.Is(err, errNoResumption) && !r.w.started:
+		// The engine may be right, and is not to blame then.
 	case !misplaced:
 		s.control.recordFailure(from, false)
 		if ctx.Err() == nil {
--- a/integration/site_short_answers_test.go
+++ b/integration/site_short_answers_test.go
@@ -81,3 +81,23 @@
 		})
 	}
 }
+
+// TestSiteStreamThatIsWholeIsTakenUp guards against a caller that takes up a stream of which nothing is left, and that never gets its end.
+func TestSiteStreamThatIsWholeIsTakenUp(t *testing.T) {
+	t.Parallel()
+	s := newSiteWithReplicas(t, 1, append(defaultReplicas()[:2], defaultReplicas()[4:]...))
+	for n := range 2 {
+		s.startRawReplica(fmt.Sprint("r-", n), engineService, "decode", func() func(*http.Request) string {
+			return func(r *http.Request) string { return rawEvents(r.Header.Get(standin.HeaderAttempt), "") + lastChunk }
+		})
+	}
+	time.Sleep(maxSitePropagationDelay)
+	for range requestsForEachEngine {
+		r := streamRequest("/check/a")
+		r.header["Last-Event-Id"] = "2"
+		a := s.send(s.vms[0], r)
+		assert.Equal(t, http.StatusOK, a.status)
+		assert.True(t, a.complete)
+		assert.Empty(t, a.body)
+	}
+}
