placement: an entry of an undeclared service replaces no replica

Cause: a newly listed replica marks those that were listed before at its address as replaced, whatever its service.

Change: only entries of declared pools do. When a pool is declared, its replicas replace those that were listed before them at their addresses.

TestEntryOfAnUndeclaredServiceReplacesReplicas failed before.

--- a/placement/replica.go
+++ b/placement/replica.go
@@ -106,6 +106,8 @@
 	unreachable bool
 	// unreachableFor holds the peers that report the replica as unreachable.
 	unreachableFor map[string]bool
+	// listing numbers the replicas in the order in which they were listed at their addresses.
+	listing int
 	// replaced reports that another replica answers at the address. It stays set until this replica is listed with
 	// another address or is renewed.
 	replaced bool
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -22,6 +22,10 @@
 	replicas map[string]*replica
 	// byAddress holds the listed replicas by address. Addresses are given to other replicas in time.
 	byAddress map[string]map[string]*replica
+	// listings counts the replicas that were listed at an address.
+	listings int
+	// declared holds the names of the declared pools.
+	declared map[string]bool
 	// loaded, unreachable, replaced and told hold the IDs of the replicas that may have a load of this VM, be unreachable or
 	// replaced, or have told this VM their load. Beacons look at these only.
 	loaded, unreachable, replaced, told map[string]bool
@@ -62,7 +66,10 @@
 // SetPools replaces the specs of the engine pools. It ignores pools without an engine spec.
 func (s *Scheduler) SetPools(pools []routing.Pool) {
 	clear(s.engineSpecs)
+	known := s.declared
+	s.declared = map[string]bool{}
 	for _, pool := range pools {
+		s.declared[pool.Name] = true
 		if pool.Engine != nil {
 			s.engineSpecs[pool.Name] = *pool.Engine
 			if s.waitEstimators[pool.Name] == nil {
@@ -70,19 +77,27 @@
 			}
 		}
 	}
+	for _, r := range s.replicas {
+		if !known[r.Pool] {
+			s.markReplacedBy(r)
+		}
+	}
 }
 
 // SetReplica adds a replica or updates its listed properties. Load and learned statistics are kept unless the
 // address has changed.
 func (s *Scheduler) SetReplica(listed Replica) {
 	old := s.replicas[listed.ID]
-	if old == nil {
-		s.markReplacedAt(listed)
-	}
 	if old == nil || old.Address != listed.Address {
 		s.forgetAddress(old)
-		s.replicas[listed.ID] = newReplica(listed)
-		s.recordAddress(s.replicas[listed.ID])
+		r := newReplica(listed)
+		s.listings++
+		r.listing = s.listings
+		s.replicas[listed.ID] = r
+		s.recordAddress(r)
+		if old == nil {
+			s.markReplacedBy(r)
+		}
 	} else {
 		if old.SoftwareVersion != listed.SoftwareVersion {
 			old.endedAt = time.Time{}
@@ -111,11 +126,14 @@
 	}
 }
 
-// markReplacedAt marks the replicas that share the address of a newly listed replica as replaced. Their list
-// entries remain for several heartbeats after they are gone.
-func (s *Scheduler) markReplacedAt(listed Replica) {
-	for _, r := range s.byAddress[listed.Address] {
-		if r.ID != listed.ID {
+// markReplacedBy marks the replicas as replaced that were listed before another one at the same address. Their list entries remain for several
+// heartbeats after they are gone. An entry of a pool that is not declared is not one of a replica, and replaces none.
+func (s *Scheduler) markReplacedBy(newer *replica) {
+	if !s.declared[newer.Pool] {
+		return
+	}
+	for _, r := range s.byAddress[newer.Address] {
+		if r.listing < newer.listing {
 			r.replaced = true
 			s.replaced[r.ID] = true
 		}
