gateway: in an outage of the store, engines are asked for their process

Cause: the version of a stream comes from the entry of its engine, which cannot change while the store is away, and only requests held to a version ask the process.

Change: while the list is not read, the version of a stream that begins is in doubt until its engine has named the listed process; so are, when the store is found lost, those that have begun since the list was last read. Streams do not wait for that, and checks are shared. Tracker.Reassign keeps the replica of a stream, without which it never got its version back.

--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -64,6 +64,9 @@
 	storeLost bool
 	// checkDeclarations triggers a check of the store for newer declarations.
 	checkDeclarations func()
+	// checkReplica has a replica asked whether its process is the listed one, or is nil if replicas do not tell. Only the control goroutine
+	// accesses it.
+	checkReplica func(placement.Replica)
 	// readCopy triggers a read of the backup copy.
 	readCopy func()
 	// newerVersion is the last version newer than that in force of which a peer has told, or nil.
--- a/gateway/list_readers.go
+++ b/gateway/list_readers.go
@@ -37,6 +37,9 @@
 // SetStoreReachable records whether this VM's last read of the list of replicas was answered. Others take precedence while it was not.
 func (c *Controller) SetStoreReachable(reachable bool) {
 	c.post(func() {
+		if !reachable && !c.storeLost {
+			c.doubtStreamsSinceRead(c.now())
+		}
 		c.storeLost, c.peersChanged, c.beacon.dirty = !reachable, true, true
 	})
 }
--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -75,6 +75,7 @@
 func (c *Controller) recordStreams(attempts []string, from placement.Replica) {
 	c.post(func() {
 		origin := originOf(from)
+		c.doubtUnread(c.now(), from)
 		if c.scheduler.VersionDoubted(c.now(), from.ID, c.now()) {
 			origin.Version = resumption.DoubtedVersion
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -54,7 +54,11 @@
 // upstreams. random returns values in [0, 1) and picks among a route's pools. maxBodyMemory bounds the request bodies
 // held in memory at any time, in bytes.
 func NewServer(control *Controller, protocol Protocol, upstreams *exchange.Client, random func() float64, maxBodyMemory int64) *Server {
-	return &Server{bodies: bodyMemory{limit: maxBodyMemory}, control: control, protocol: protocol, upstreams: upstreams, log: control.log, metrics: control.metrics, random: random}
+	s := &Server{bodies: bodyMemory{limit: maxBodyMemory}, control: control, protocol: protocol, upstreams: upstreams, log: control.log, metrics: control.metrics, random: random}
+	if protocol.ProcessRequest != nil {
+		control.post(func() { control.checkReplica = s.checkDoubted })
+	}
+	return s
 }
 
 // request holds the state of one caller's request while it is in flight.
--- a/resumption/tracker.go
+++ b/resumption/tracker.go
@@ -99,10 +99,22 @@
 	}
 	for _, name := range names {
 		t.record(now, name, origin, true)
+		t.streams[name].replica = replica
 	}
 	return len(names)
 }
 
+// ReplicasSince returns the IDs of the replicas at which streams have begun at this VM since a time.
+func (t *Tracker) ReplicasSince(since time.Time) map[string]bool {
+	replicas := map[string]bool{}
+	for i := len(t.order) - 1; i >= 0 && !t.order[i].at.Before(since); i-- {
+		if stream := t.streams[t.order[i].name]; stream != nil && stream.own {
+			replicas[stream.replica] = true
+		}
+	}
+	return replicas
+}
+
 func (t *Tracker) record(now time.Time, name uint64, origin Origin, own bool) {
 	t.expire(now)
 	known := t.streams[name]
