gateway: a new process of the same version gives streams in doubt their version

Cause: when another process was found to answer under the ID, streams of up to 3 s before got an unknown version for good.

Change: once the entry of the new process names the version of the old one, the streams get that version back, here and at peers.

TestReplicaBackWithItsVersionLosesItsStreams failed before.

--- a/gateway/leaving_answers.go
+++ b/gateway/leaving_answers.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/placement"
@@ -22,12 +24,12 @@
 
 // renewIfRestarted reports whether an entry is of a process that started later than the one that is known. If so, a replica that
 // was replaced at its address, or said that it was leaving, is usable again.
-func (c *Controller) renewIfRestarted(id string, version EntryVersion) bool {
+func (c *Controller) renewIfRestarted(id string, version EntryVersion) (doubtedSince time.Time, restarted bool) {
 	known, exists := c.replicas.versions.newest[id]
 	if !exists || version.Born <= known.Born {
-		return false
+		return time.Time{}, false
 	}
-	c.scheduler.Renew(id)
+	doubtedSince = c.scheduler.Renew(id)
 	c.log.Info("replica-restarted", zap.String("Replica", id), zap.Int64("Born", version.Born))
-	return true
+	return doubtedSince, true
 }
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -142,7 +142,11 @@
 		if exists && old.SoftwareVersion != replica.SoftwareVersion {
 			c.doubtRecentStreams(now, old)
 		}
-		restarted := c.renewIfRestarted(replica.ID, update.versions[replica.ID])
+		doubtedSince, restarted := c.renewIfRestarted(replica.ID, update.versions[replica.ID])
+		if restarted && old.SoftwareVersion == replica.SoftwareVersion {
+			// Its streams are of that version, whichever process they began at.
+			c.returnStreams(replica, doubtedSince)
+		}
 		if restarted {
 			c.recordListChange(update.offsets[replica.ID])
 			changed = append(changed, replica.ID)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -363,11 +363,13 @@
 }
 
 // Renew records that another process has started under the ID of a replica, so that what the one before said or did no longer
-// counts.
-func (s *Scheduler) Renew(id string) {
+// counts. It returns since when the process before was in doubt, or zero.
+func (s *Scheduler) Renew(id string) (doubtedSince time.Time) {
 	if r := s.replicas[id]; r != nil {
+		doubtedSince = r.endedAt
 		r.saidLeaving, r.replaced, r.endedAt, r.onlySilent = false, false, time.Time{}, false
 	}
+	return doubtedSince
 }
 
 // ReplacedIDs returns the sorted IDs of listed replicas whose addresses are now used by other replicas.
