gateway: what decides without I/O moves to the packages of its kind

No behaviour changes. The state of a replica's process, and the checks that share one question, go to package liveness beside the entries (one type in place of two), the retry budget to quota, work times and the digest of the list to placement, and what the IDs of events count to eventstream. Tests and mutants move with them.

--- a/gateway/admissions.go
+++ b/gateway/admissions.go
@@ -16,7 +16,7 @@
 		now := c.now()
 		wait, ok := c.quotas.Take(now, account, tokens)
 		if ok {
-			c.budget.recordRequest(now, pool)
+			c.budget.RecordRequest(now, pool)
 			c.beacon.tokensSpent = true
 		}
 		return admission{ok: ok, retryAfter: wait, level: c.quotas.Level(now, account)}
@@ -31,5 +31,5 @@
 // takeRetries charges a number of additional upstream requests to the retry budget of a pool, and reports whether they
 // fit.
 func (c *Controller) takeRetries(pool string, requests int) bool {
-	return ask(c, func() bool { return c.budget.take(c.now(), pool, requests) })
+	return ask(c, func() bool { return c.budget.Take(c.now(), pool, requests) })
 }
--- a/gateway/beacon_schedule_test.go
+++ b/gateway/beacon_schedule_test.go
@@ -7,6 +7,9 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// start is the time at which simulations begin.
+var start = time.Unix(1_000_000, 0)
+
 // countBeacons returns the number of beacons that a VM with the given number of peers sends in 10 s. change marks what
 // has changed before each step of 1 ms.
 func countBeacons(peers int, change func(*beaconSchedule)) int {
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -183,7 +183,7 @@
 	b := peer.Beacon{VM: c.self.VM, Incarnation: c.self.Incarnation, AvailabilityZone: c.zone, Format: peer.MessageFormat, Capabilities: c.capabilities(), Sequence: c.beacon.sequence, Uptime: now.Sub(c.startedAt), Version: c.version(), VMCount: c.vmCount(),
 		Leaving: c.leaving.Load(), CutOff: c.cutOff, StoreDistance: c.storeDistance(), ReplicaLoads: c.scheduler.OwnLoads(), QueuedTokens: c.scheduler.QueuedTokens(), SpentTokens: c.quotas.Spent(), ReplacedReplicas: c.scheduler.ReplacedIDs(), UnreachableReplicas: c.scheduler.UnreachableIDs(now),
 		Suspects: c.quarantine.Report(now), TrialParts: c.quarantine.OwnTrials(), ReplicaLimits: c.limits.Reports(now),
-		ListAge: c.listSchedule.age(now), ListEra: c.listSchedule.changed.era, ListOffset: c.listSchedule.changed.offset, ListNext: c.listNext(), ListDigest: c.replicas.digest.total, Streams: c.reportStreams(now),
+		ListAge: c.listSchedule.age(now), ListEra: c.listSchedule.changed.era, ListOffset: c.listSchedule.changed.offset, ListNext: c.listNext(), ListDigest: c.replicas.digest.Total, Streams: c.reportStreams(now),
 		CheckAge: c.declarationChecks.age(now), ColdReplicas: c.cold.Remaining(now), ServiceLoads: c.scheduler.OwnServiceLoads(now), ServiceCalls: maps.Clone(c.scheduler.OwnCalls()), EvacuationsEra: c.zones.changed.era, EvacuationsOffset: c.zones.changed.offset}
 	if now.Before(c.advertiseLevelsUntil) {
 		b.BucketLevels = c.quotas.Levels(now)
--- a/gateway/controller.go
+++ b/gateway/controller.go
@@ -84,7 +84,7 @@
 	scheduler  *placement.Scheduler
 	quotas     *quota.Limiter
 	quarantine *quarantine.Tracker
-	budget     *retryBudget
+	budget     *quota.RetryBudget
 	peers      map[string]*peerState
 	replicas   replicaList
 	feed       listFeed
@@ -148,7 +148,7 @@
 // WithRetryBudget sets the retry budget that all VMs share: retries are limited to ratio times the number of requests,
 // plus slack in each window.
 func WithRetryBudget(ratio float64, slack float64, window time.Duration) Option {
-	return func(c *Controller) { c.budget = newRetryBudget(ratio, slack, window) }
+	return func(c *Controller) { c.budget = quota.NewRetryBudget(ratio, slack, window) }
 }
 
 // NewController returns a Controller for the VM self in an availability zone. Run must be called for its methods to
@@ -159,7 +159,7 @@
 	c := &Controller{
 		self: self, zone: zone, log: zap.NewNop(), metrics: metrics.NewGateway(), now: time.Now, events: make(chan event, eventQueueCapacity),
 		isPathLost: func(string) bool { return false }, refreshDeclarations: func() {}, storeDelay: func() time.Duration { return 0 }, readCopy: func() {}, catchUp: catchUp{done: true}, vmListRead: true, fleetListed: true, fleetKnown: true, scheduler: placement.NewScheduler(zone, limits, cold, rand.Float64), quotas: quota.NewLimiter(), quarantine: quarantine.NewTracker(),
-		budget: newRetryBudget(defaultRetryRatio, defaultRetrySlack, defaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), receipts: resumption.NewReceipts(), streamsBegun: make(chan struct{}, 1), recordsWanted: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
+		budget: quota.NewRetryBudget(quota.DefaultRetryRatio, quota.DefaultRetrySlack, quota.DefaultRetryWindow), peers: map[string]*peerState{}, replicas: newReplicaList(), feed: newListFeed(), streams: resumption.NewTracker(time.Time{}), receipts: resumption.NewReceipts(), streamsBegun: make(chan struct{}, 1), recordsWanted: make(chan struct{}, 1), limits: limits, cold: cold, invalidHeaders: map[string]string{},
 		pendingPlacements: map[uint64]chan placement.Decision{}, listSchedule: newListReadSchedule(), declarationChecks: fleetTask{interval: declarationsCheckInterval}, sendBeacon: func(peer.Beacon, []peerAddress) error { return nil },
 	}
 	for _, opt := range opts {
--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -11,6 +11,7 @@
 
 	"github.com/cassiabridge/cassiabridge/attempt"
 	"github.com/cassiabridge/cassiabridge/exchange"
+	"github.com/cassiabridge/cassiabridge/liveness"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/resumption"
 )
@@ -30,15 +31,15 @@
 // noteRefusal marks a replica as ended if an error means that connections to it are refused.
 func (s *Server) noteRefusal(replica placement.Replica, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.recordProcess(replica, processRefuses)
+		s.recordProcess(replica, liveness.Refuses)
 	}
 }
 
 // recordProcess records what was found of the process of a replica. One that did not answer is asked again: the way to it may have been
 // lost only.
-func (s *Server) recordProcess(replica placement.Replica, state processState) {
+func (s *Server) recordProcess(replica placement.Replica, state liveness.State) {
 	s.control.recordProcess(replica, state, func() {
-		if state == processSilent {
+		if state == liveness.Silent {
 			go s.askSilentReplica(replica)
 		}
 	})
@@ -48,8 +49,8 @@
 func (s *Server) askSilentReplica(replica placement.Replica) {
 	for range maxSilentChecks {
 		time.Sleep(silentCheckInterval)
-		state := s.checkProcess(context.Background(), replica).stateOf(replica.Born)
-		if state != processSilent {
+		state := s.checkProcess(context.Background(), replica).StateOf(replica.Born)
+		if state != liveness.Silent {
 			s.control.recordProcess(replica, state, func() {})
 			return
 		}
@@ -57,31 +58,31 @@
 }
 
 // recordProcess records what was found of the process of a replica. onDoubt is called if its software version is in doubt only since then.
-func (c *Controller) recordProcess(replica placement.Replica, state processState, onDoubt func()) {
+func (c *Controller) recordProcess(replica placement.Replica, state liveness.State, onDoubt func()) {
 	c.post(func() {
 		listed, exists := c.scheduler.Replica(replica.ID)
 		switch {
 		case !exists || listed.Born != replica.Born:
 			// The entry has been renewed since.
-		case state == processLives:
+		case state == liveness.Lives:
 			c.returnStreams(listed, c.scheduler.MarkLiving(replica.ID))
-		case state == processUnnamed:
+		case state == liveness.Unnamed:
 			c.scheduler.MarkAnswering(replica.ID)
-		case !state.confirmsEnd():
+		case !state.ConfirmsEnd():
 			c.recordEndedProcess(replica, state, onDoubt)
 		}
 	})
 }
 
 // recordEndedProcess is recordProcess for the control goroutine and a process that does not live or did not answer.
-func (c *Controller) recordEndedProcess(replica placement.Replica, state processState, onDoubt func()) {
+func (c *Controller) recordEndedProcess(replica placement.Replica, state liveness.State, onDoubt func()) {
 	now := c.now()
 	mark := c.scheduler.MarkEnded
-	if state == processSilent {
+	if state == liveness.Silent {
 		mark = c.scheduler.MarkSilent
 	}
 	doubted := mark(now, replica.ID)
-	if state == processRestarted {
+	if state == liveness.Restarted {
 		c.reassignStreams(now, replica, c.scheduler.MarkRestarted(now, replica.ID))
 	}
 	if !doubted {
@@ -145,9 +146,9 @@
 		patience, cancel = context.WithTimeout(ctx, silencePatience)
 		defer cancel()
 	}
-	state := s.awaitProcess(patience, to).stateOf(to.Born)
+	state := s.awaitProcess(patience, to).StateOf(to.Born)
 	switch {
-	case state.confirmsEnd():
+	case state.ConfirmsEnd():
 		return nil
 	case ctx.Err() != nil:
 		// The caller has left before the check was over.
--- a/gateway/ended_replicas.go
+++ b/gateway/ended_replicas.go
@@ -57,11 +57,11 @@
 func (s *Server) recordBroken(r *request, replica placement.Replica, lasted bool) {
 	parts := r.parts()
 	answer := s.checkProcess(context.Background(), replica)
-	state := answer.stateOf(replica.Born)
+	state := answer.StateOf(replica.Born)
 	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.String("Process", string(state)),
-		zap.Int64("KnownBorn", replica.Born), zap.Int64("Born", answer.born), zap.Bool("Lasted", lasted), zap.Strings("Parts", parts))
+		zap.Int64("KnownBorn", replica.Born), zap.Int64("Born", answer.Born), zap.Bool("Lasted", lasted), zap.Strings("Parts", parts))
 	s.recordProcess(replica, state)
-	if state.ended() && !lasted {
+	if state.Ended() && !lasted {
 		s.control.recordEnd(parts, replica)
 	}
 }
--- a/gateway/entry_watches.go
+++ b/gateway/entry_watches.go
@@ -15,7 +15,7 @@
 // entryWatch is an answer that waits for the entries of its replica.
 type entryWatch struct {
 	*liveness.Watch
-	decide func(liveness.Verdict)
+	decide func(liveness.State)
 	ctx    context.Context
 }
 
@@ -39,20 +39,17 @@
 }
 
 // awaitEntry waits for evidence in the list of replicas that the process of a replica lives, until ctx is done.
-func (c *Controller) awaitEntry(ctx context.Context, replica placement.Replica) processState {
-	verdict := make(chan liveness.Verdict, 1)
+func (c *Controller) awaitEntry(ctx context.Context, replica placement.Replica) liveness.State {
+	found := make(chan liveness.State, 1)
 	c.post(func() {
 		watch := liveness.NewWatch(replica.ID, replica.Born, c.now())
-		c.watches.open = append(c.watches.open, entryWatch{watch, func(v liveness.Verdict) { verdict <- v }, ctx})
+		c.watches.open = append(c.watches.open, entryWatch{watch, func(s liveness.State) { found <- s }, ctx})
 	})
 	select {
-	case v := <-verdict:
-		if v == liveness.Lived {
-			return processLives
-		}
-		return processRestarted
+	case state := <-found:
+		return state
 	case <-ctx.Done():
-		return processSilent
+		return liveness.Silent
 	}
 }
 
@@ -82,11 +79,11 @@
 		if !known {
 			return false
 		}
-		verdict := w.Read(sentAt, liveness.Entry{Born: version.Born, Sequence: version.Sequence})
-		if verdict == liveness.Undecided {
+		state := w.Read(sentAt, liveness.Entry{Born: version.Born, Sequence: version.Sequence})
+		if state == liveness.Silent {
 			return false
 		}
-		w.decide(verdict)
+		w.decide(state)
 		return true
 	})
 }
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -57,7 +57,7 @@
 // policy and the retry budget allow.
 func (s *Server) generate(ctx context.Context, r *request) *Error {
 	g := &generation{server: s, r: r, events: s.newSequence(r)}
-	defer func() { s.numberings.add(r.pool.Name, g.events.Steps()) }()
+	defer func() { s.numberings.Add(r.pool.Name, g.events.Steps()) }()
 	r.w.onFirstByte = func() {
 		took := s.control.now().Sub(r.arrivedAt)
 		s.metrics.FirstEvent.WithLabelValues(r.route.Name).Observe(took.Seconds())
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -126,7 +126,7 @@
 // entries all the time, and a VM that did not move on would have to read all of that whenever the list has changed.
 func (c *Controller) confirmList(now time.Time, b peer.Beacon) {
 	next := c.listSchedule.next
-	if c.advanceList == nil || !c.replicas.everRead || b.ListEra != next.era || b.ListNext <= next.offset || b.ListDigest != c.replicas.digest.total {
+	if c.advanceList == nil || !c.replicas.everRead || b.ListEra != next.era || b.ListNext <= next.offset || b.ListDigest != c.replicas.digest.Total {
 		return
 	}
 	c.listSchedule.next.offset, c.listSchedule.confirmedAt = b.ListNext, now
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -188,7 +188,7 @@
 	c.scheduler.SetVMCount(count + 1)
 	c.updateQuotaShares(now, known, count, silent, startedTogether)
 	if known {
-		c.budget.setVMCount(count + 1)
+		c.budget.SetVMCount(count + 1)
 	}
 	c.updateCatchUp(now, versions)
 	c.updateDeclarationsReading()
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -26,11 +26,11 @@
 	// everRead is whether the list has been read since the process started.
 	everRead bool
 	versions entryVersions
-	digest   listDigest
+	digest   placement.ListDigest
 }
 
 func newReplicaList() replicaList {
-	return replicaList{doubtful: map[string]bool{}, versions: newEntryVersions(), digest: newListDigest()}
+	return replicaList{doubtful: map[string]bool{}, versions: newEntryVersions(), digest: placement.NewListDigest()}
 }
 
 // ReplicaUpdate holds the changes that one batch of the replica list describes.
@@ -151,8 +151,8 @@
 			c.recordListChange(update.offsets[replica.ID])
 			changed = append(changed, replica.ID)
 		}
-		if restarted || !exists || old != replica || !c.replicas.digest.has(replica.ID) {
-			c.replicas.digest.set(replica, update.versions[replica.ID].Born)
+		if restarted || !exists || old != replica || !c.replicas.digest.Has(replica.ID) {
+			c.replicas.digest.Set(replica, update.versions[replica.ID].Born)
 		}
 		c.replicas.versions.record(replica.ID, update.versions[replica.ID])
 		delete(c.replicas.doubtful, replica.ID)
@@ -192,7 +192,7 @@
 // removeReplica removes a replica whose entry is missing. While the list cannot be trusted after an outage, a replica
 // that was not leaving is marked doubtful instead, and is used only when no other replica is available.
 func (c *Controller) removeReplica(now time.Time, replica placement.Replica) {
-	c.replicas.digest.remove(replica.ID)
+	c.replicas.digest.Remove(replica.ID)
 	if now.Before(c.replicas.trustFrom) && !replica.Leaving {
 		replica.Doubtful = true
 		c.replicas.doubtful[replica.ID] = true
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,7 +13,9 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiabridge/cassiabridge/attempt"
+	"github.com/cassiabridge/cassiabridge/eventstream"
 	"github.com/cassiabridge/cassiabridge/exchange"
+	"github.com/cassiabridge/cassiabridge/liveness"
 	"github.com/cassiabridge/cassiabridge/metrics"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/routing"
@@ -44,10 +46,10 @@
 	random        func() float64
 	bodies        bodyMemory
 	inFlight      inFlight
-	workTimes     workTimes
+	workTimes     placement.WorkTimes
 	stopping      stopping
-	numberings    numberings
-	processChecks processChecks
+	numberings    eventstream.Numberings
+	processChecks liveness.Checks
 }
 
 // NewServer returns a Server that takes placement and admission decisions from control and sends requests through
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/cassiabridge/cassiabridge/placement"
 )
 
 const (
@@ -59,8 +61,8 @@
 	}
 	now := s.control.now()
 	tokens := r.outputTokens()
-	expected, samples := s.workTimes.estimate(r.route.Name, tokens)
-	if samples < minWorkTimeSamples {
+	expected, samples := s.workTimes.Estimate(r.route.Name, tokens)
+	if samples < placement.MinWorkTimeSamples {
 		expected = max(expected, s.inFlight.longest(now, r))
 	}
 	canFinish := s.stopping.canFinish(now, r.deadline, expected)
@@ -92,5 +94,5 @@
 	if answered && !r.w.firstByteAt.IsZero() {
 		untilFirst = r.w.firstByteAt.Sub(r.arrivedAt)
 	}
-	s.workTimes.record(r.route.Name, untilFirst, took, r.outputTokens())
+	s.workTimes.Record(r.route.Name, untilFirst, took, r.outputTokens())
 }
--- a/gateway/stream_order.go
+++ b/gateway/stream_order.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync"
 
 	"go.uber.org/zap"
 
@@ -12,46 +11,9 @@
 	"github.com/cassiabridge/cassiabridge/routing"
 )
 
-const (
-	// maxSkippingShare is the share of successive events that may leave out numbers in a pool whose numbers count the events: single
-	// replicas may be faulty.
-	maxSkippingShare = 0.05
-	// maxSteps bounds the pairs of events that are remembered of a pool, so that newer ones count for more.
-	maxSteps = 10_000
-)
-
-// numberings remembers by pool whether the IDs of events count them. The zero value knows of no pool.
-type numberings struct {
-	mu    sync.Mutex
-	steps map[string]eventstream.Steps
-}
-
-// add adds what a stream of a pool has shown.
-func (n *numberings) add(pool string, steps eventstream.Steps) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.steps == nil {
-		n.steps = map[string]eventstream.Steps{}
-	}
-	known := n.steps[pool]
-	if known.All > maxSteps {
-		known.All /= 2
-		known.Skipping /= 2
-	}
-	n.steps[pool] = eventstream.Steps{All: known.All + steps.All, Skipping: known.Skipping + steps.Skipping}
-}
-
-// counting reports whether the IDs of a pool's events count them, as far as is known.
-func (n *numberings) counting(pool string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	steps := n.steps[pool]
-	return float64(steps.Skipping) <= maxSkippingShare*float64(steps.All)
-}
-
 // newSequence returns the Sequence of the stream that a request begins or, where the route allows that, goes on with.
 func (s *Server) newSequence(r *request) eventstream.Sequence {
-	numbering := eventstream.Numbering{Increasing: s.protocol.NumbersEvents, Counting: s.numberings.counting(r.pool.Name)}
+	numbering := eventstream.Numbering{Increasing: s.protocol.NumbersEvents, Counting: s.numberings.Counting(r.pool.Name)}
 	if r.route.Repeat != routing.Resumable {
 		return eventstream.NewSequence("", numbering)
 	}
@@ -67,7 +29,7 @@
 	events := s.newSequence(r)
 	events.BeginAnswer()
 	err := r.w.copyStream(resp, &events)
-	s.numberings.add(r.pool.Name, events.Steps())
+	s.numberings.Add(r.pool.Name, events.Steps())
 	s.logMisplaced(r, from, err)
 	return err
 }
--- a/gateway/unread_entries.go
+++ b/gateway/unread_entries.go
@@ -58,5 +58,5 @@
 
 // checkDoubted asks a replica for its process and records what it finds.
 func (s *Server) checkDoubted(replica placement.Replica) {
-	go func() { s.recordProcess(replica, s.checkProcess(context.Background(), replica).stateOf(replica.Born)) }()
+	go func() { s.recordProcess(replica, s.checkProcess(context.Background(), replica).StateOf(replica.Born)) }()
 }
--- a/liveness/watch.go
+++ b/liveness/watch.go
@@ -1,4 +1,4 @@
-// Package liveness tells from the entries that a replica writes about itself whether a process of it has lived after a moment.
+// Package liveness tells whether a process of a replica lives, by what it answers when it is asked and by the entries that it writes.
 //
 // The ID and the address of a replica outlive its process, and an answer that names no start may be that of the next process under the same
 // ID. The entries name the start, and their sequence numbers rise as long as the process lives. The package performs no I/O.
@@ -6,19 +6,6 @@
 
 import "time"
 
-// Verdict is what the entries tell of a process.
-type Verdict string
-
-// Verdicts.
-const (
-	// Undecided means that the entries do not tell yet.
-	Undecided Verdict = "Undecided"
-	// Lived means that the process has written an entry after the moment.
-	Lived Verdict = "Lived"
-	// Restarted means that another process has written the entry.
-	Restarted Verdict = "Restarted"
-)
-
 // Entry identifies one entry of a replica.
 type Entry struct {
 	// Born is when the process started, in Unix milliseconds by its own clock.
@@ -44,18 +31,18 @@
 }
 
 // Read records the newest entry of the replica, as a read of the list has found it that was sent at a time and held all that was written
-// before.
-func (w *Watch) Read(sentAt time.Time, entry Entry) Verdict {
+// before. It returns Lives, Restarted, or Silent as long as the entries do not tell.
+func (w *Watch) Read(sentAt time.Time, entry Entry) State {
 	switch {
 	case entry.Born != w.born:
 		return Restarted
 	case sentAt.Before(w.since):
-		return Undecided
+		return Silent
 	case !w.read:
 		w.read, w.first = true, entry.Sequence
-		return Undecided
+		return Silent
 	case entry.Sequence > w.first:
-		return Lived
+		return Lives
 	}
-	return Undecided
+	return Silent
 }
--- a/gateway/work_times.go
+++ b/placement/work_times.go
@@ -1,4 +1,4 @@
-package gateway
+package placement
 
 import (
 	"slices"
@@ -11,14 +11,15 @@
 	workTimeSamples = 64
 	// workTimeQuantile is the quantile of the samples that a request is expected to take.
 	workTimeQuantile = 0.95
-	// minWorkTimeSamples is the number of samples below which the requests in flight are looked at too.
-	minWorkTimeSamples = 5
+	// MinWorkTimeSamples is the number of samples below which the requests in flight are looked at too.
+	MinWorkTimeSamples = 5
 	// maxWorkTimeRoutes bounds the number of routes whose work times are kept.
 	maxWorkTimeRoutes = 4096
 )
 
-// workTimes estimates how long requests take, from the latest answers of each route. It is safe for concurrent use.
-type workTimes struct {
+// WorkTimes estimates how long requests take, from the latest answers of each route. The zero value knows of none. It is safe for
+// concurrent use.
+type WorkTimes struct {
 	mu      sync.Mutex
 	byRoute map[string]*routeWorkTimes
 }
@@ -31,8 +32,8 @@
 	next                 int
 }
 
-// record records the answer to a request with an expected output of tokens, or 0 if it is not counted in tokens.
-func (w *workTimes) record(route string, untilFirst, total time.Duration, tokens int) {
+// Record records the answer to a request with an expected output of tokens, or 0 if it is not counted in tokens.
+func (w *WorkTimes) Record(route string, untilFirst, total time.Duration, tokens int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.byRoute == nil || len(w.byRoute) >= maxWorkTimeRoutes {
@@ -62,19 +63,19 @@
 	t.next = (t.next + 1) % workTimeSamples
 }
 
-// estimate returns the time that a request with an expected output of tokens takes, and the number of samples.
-func (w *workTimes) estimate(route string, tokens int) (time.Duration, int) {
+// Estimate returns the time that a request with an expected output of tokens takes, and the number of samples.
+func (w *WorkTimes) Estimate(route string, tokens int) (time.Duration, int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	times := w.byRoute[route]
 	if times == nil {
 		return 0, 0
 	}
-	return quantile(times.untilFirst) + quantile(times.perToken)*time.Duration(tokens), len(times.untilFirst)
+	return workTimeOf(times.untilFirst) + workTimeOf(times.perToken)*time.Duration(tokens), len(times.untilFirst)
 }
 
-// quantile returns the workTimeQuantile of samples, of which there must be one.
-func quantile(samples []time.Duration) time.Duration {
+// workTimeOf returns the workTimeQuantile of samples, of which there must be one.
+func workTimeOf(samples []time.Duration) time.Duration {
 	sorted := slices.Sorted(slices.Values(samples))
 	return sorted[int(workTimeQuantile*float64(len(sorted)-1))]
 }
--- a/gateway/retry_budget.go
+++ b/quota/retry_budget.go
@@ -1,11 +1,15 @@
-package gateway
+package quota
 
 import "time"
 
+// Defaults of a retry budget: the ratio of retries to requests, the number of further retries in each window, and the window.
+const (
+	DefaultRetryRatio  = 0.2
+	DefaultRetrySlack  = 5.0
+	DefaultRetryWindow = 10 * time.Second
+)
+
 const (
-	defaultRetryRatio  = 0.2
-	defaultRetrySlack  = 5.0
-	defaultRetryWindow = 10 * time.Second
 	// ratioUtilization is the fraction of the ratio that is used. The rest covers requests that are counted in an adjacent
 	// window.
 	ratioUtilization = 0.8
@@ -20,9 +24,9 @@
 	unknownFleetCapacity = 1
 )
 
-// retryBudget limits how many retries this VM sends to each pool. It is this VM's part of a budget for all VMs: the
-// ratio of its own requests, and an equal part of the slack once the number of VMs is known.
-type retryBudget struct {
+// RetryBudget limits how many retries this VM sends to each pool. It is this VM's part of a budget for all VMs: the
+// ratio of its own requests, and an equal part of the slack once the number of VMs is known. It is not safe for concurrent use.
+type RetryBudget struct {
 	ratio  float64
 	slack  float64
 	window time.Duration
@@ -37,12 +41,13 @@
 	refilledAt time.Time
 }
 
-func newRetryBudget(ratio, slack float64, window time.Duration) *retryBudget {
-	return &retryBudget{ratio: ratio, slack: slack, window: window, pools: map[string]*poolBudget{}}
+// NewRetryBudget returns the budget of a VM that does not know the number of VMs yet. window is the period of the slack.
+func NewRetryBudget(ratio, slack float64, window time.Duration) *RetryBudget {
+	return &RetryBudget{ratio: ratio, slack: slack, window: window, pools: map[string]*poolBudget{}}
 }
 
-// setVMCount sets the number of VMs among which the slack is divided.
-func (b *retryBudget) setVMCount(n int) {
+// SetVMCount sets the number of VMs among which the slack is divided.
+func (b *RetryBudget) SetVMCount(n int) {
 	first := b.vmCount == 0
 	b.vmCount = max(1, n)
 	if !first {
@@ -54,7 +59,7 @@
 }
 
 // ownSlack returns this VM's part of the slack.
-func (b *retryBudget) ownSlack() float64 {
+func (b *RetryBudget) ownSlack() float64 {
 	if b.vmCount == 0 {
 		return 0
 	}
@@ -62,14 +67,14 @@
 }
 
 // capacity returns the maximum number of retries that may accumulate for a pool.
-func (b *retryBudget) capacity() float64 {
+func (b *RetryBudget) capacity() float64 {
 	if b.vmCount == 0 {
 		return unknownFleetCapacity
 	}
 	return capacityShare * b.ownSlack()
 }
 
-func (b *retryBudget) refill(now time.Time, name string) *poolBudget {
+func (b *RetryBudget) refill(now time.Time, name string) *poolBudget {
 	p := b.pools[name]
 	if p == nil {
 		p = &poolBudget{available: initialShare * b.ownSlack(), refilledAt: now}
@@ -81,15 +86,15 @@
 	return p
 }
 
-// recordRequest adds the retries that one admitted request allows to the budget of its pool.
-func (b *retryBudget) recordRequest(now time.Time, pool string) {
+// RecordRequest adds the retries that one admitted request allows to the budget of its pool.
+func (b *RetryBudget) RecordRequest(now time.Time, pool string) {
 	p := b.refill(now, pool)
 	p.available = min(p.available+ratioUtilization*b.ratio, b.capacity())
 }
 
-// take charges a number of retries to the budget of a pool. It returns false and charges nothing if fewer are
+// Take charges a number of retries to the budget of a pool. It returns false and charges nothing if fewer are
 // available.
-func (b *retryBudget) take(now time.Time, pool string, requests int) bool {
+func (b *RetryBudget) Take(now time.Time, pool string, requests int) bool {
 	p := b.refill(now, pool)
 	if p.available < float64(requests) {
 		return false
