resumption: a peer without history is no witness, and questions are bounded

Found in reading the diff. The word of all VMs counted as evidence also when one of them had just started and did not know which versions had served: it may have begun the stream itself before. Such an answer tells of streams only. A VM whose reads of the store fail does not try again for each question.

--- a/gateway/stream_inquiries.go
+++ b/gateway/stream_inquiries.go
@@ -55,7 +55,8 @@
 		message := c.newMessage(peer.ScopeStreamsQuestion)
 		message.Question = &question
 		c.sendSummary(message, c.addressesOf(append(audience.Heard, audience.Silent...)))
-		if c.replicas.everRead {
+		// While reads fail they are tried again anyway.
+		if c.replicas.everRead && !c.storeLost {
 			c.listSchedule.requestedAt = now
 			c.readList()
 		}
@@ -109,7 +110,7 @@
 	case b.Answer != nil:
 		c.streams.RecordFound(now, b.Answer.Streams)
 		c.recordPeerVersions(now, b.Answer.Versions)
-		c.inquiries.RecordAnswer(b.Answer.ID, b.VM)
+		c.inquiries.RecordAnswer(*b.Answer, b.VM)
 	}
 }
 
--- a/resumption/inquiry.go
+++ b/resumption/inquiry.go
@@ -42,7 +42,7 @@
 type round struct {
 	id     uint64
 	sentAt time.Time
-	// heard and silent hold the peers that have not answered.
+	// heard and silent hold the peers that have not answered, and silent also those that do not know all versions.
 	heard, silent []string
 	// answered is whether any peer has answered.
 	answered bool
@@ -105,7 +105,7 @@
 	q.rounds = append(slices.DeleteFunc(q.rounds, func(r *round) bool { return now.Sub(r.sentAt) > inquiryTimeout }), asked)
 	question := Question{ID: asked.id}
 	for _, inquiry := range q.open {
-		if inquiry.round == nil {
+		if inquiry.round == nil && len(question.Names) < maxPageStreams {
 			inquiry.round = asked
 			question.Names = append(question.Names, nameOf(inquiry.Attempt))
 		}
@@ -113,12 +113,17 @@
 	return question, true
 }
 
-// RecordAnswer records that a peer has answered a question.
-func (q *Inquiries) RecordAnswer(id uint64, peer string) {
+// RecordAnswer records that a peer has answered a question. A peer that does not know all versions, as after its start, can tell of streams, and
+// does not count among all VMs that may serve.
+func (q *Inquiries) RecordAnswer(answer Answer, peer string) {
+	isPeer := func(name string) bool { return name == peer }
 	for _, r := range q.rounds {
-		if r.id == id {
-			isPeer := func(name string) bool { return name == peer }
-			r.heard, r.silent, r.answered = slices.DeleteFunc(r.heard, isPeer), slices.DeleteFunc(r.silent, isPeer), true
+		if r.id != answer.ID {
+			continue
+		}
+		r.heard, r.silent, r.answered = slices.DeleteFunc(r.heard, isPeer), slices.DeleteFunc(r.silent, isPeer), true
+		if answer.Versions == nil {
+			r.silent = append(r.silent, peer)
 		}
 	}
 }
