integration: a killed stand-in answers nothing while its connections close

Cause: the stand-in closes the connections of a "killed" process one after the other, and its goroutines went on answering on those that were still open. The check of the process after the end of the answer found it alive. The kernel runs no thread of a killed process.

The test checks what it did; only the kill is as a kernel's.

--- a/integration/mortal_replica_test.go
+++ b/integration/mortal_replica_test.go
@@ -81,7 +81,7 @@
 				conn.Close()
 				continue
 			}
-			go m.serve(conn, process)
+			go m.serve(listener, conn, process)
 		}
 	}()
 	return process
@@ -127,8 +127,20 @@
 	m.restart(m)
 }
 
+// write writes an answer of the process that listens, unless that has been killed: the kernel closes the connections of a process one after the
+// other, but no thread of it runs any more.
+func (m *mortalReplica) write(listener net.Listener, conn net.Conn, answer string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listener != listener {
+		return net.ErrClosed
+	}
+	_, err := io.WriteString(conn, answer)
+	return err
+}
+
 // serve answers requests on a connection of a process. The first one that is answered ends the process.
-func (m *mortalReplica) serve(conn net.Conn, process standin.Process) {
+func (m *mortalReplica) serve(listener net.Listener, conn net.Conn, process standin.Process) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -146,7 +158,7 @@
 		if own == "" && answer == "" {
 			own = "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderAttempt + ": " + r.Header.Get(standin.HeaderAttempt) + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 		}
-		if _, err = io.WriteString(conn, own+answer); err != nil {
+		if m.write(listener, conn, own+answer) != nil {
 			return
 		}
 		if answer != "" {
