--- a/app/store_source.go
+++ b/app/store_source.go
@@ -80,13 +80,13 @@
 }
 
 // refreshDeclarations triggers an immediate read of the declarations.
-func (s *storeSyncer) refreshDeclarations() { notify(s.declarationsRefresh) }
+func (s *storeSyncer) refreshDeclarations() { follow.Notify(s.declarationsRefresh) }
 
 // checkDeclarations triggers a check for newer declarations.
-func (s *storeSyncer) checkDeclarations() { notify(s.declarationsCheck) }
+func (s *storeSyncer) checkDeclarations() { follow.Notify(s.declarationsCheck) }
 
 // refreshReplicas triggers an immediate read of the list of replicas.
-func (s *storeSyncer) refreshReplicas() { notify(s.replicasRefresh) }
+func (s *storeSyncer) refreshReplicas() { follow.Notify(s.replicasRefresh) }
 
 // advanceReplicas records that the list of replicas is known up to an offset from a peer.
 func (s *storeSyncer) advanceReplicas(offset, era uint64) {
@@ -110,13 +110,13 @@
 }
 
 // refreshCopy triggers an immediate read of the backup copy.
-func (s *storeSyncer) refreshCopy() { notify(s.copyRefresh) }
+func (s *storeSyncer) refreshCopy() { follow.Notify(s.copyRefresh) }
 
 // refreshAll triggers an immediate read of all topics, since the store has come back from an older copy.
 func (s *storeSyncer) refreshAll() {
-	notify(s.declarationsRefresh)
-	notify(s.replicasRefresh)
-	notify(s.vmsRefresh)
+	follow.Notify(s.declarationsRefresh)
+	follow.Notify(s.replicasRefresh)
+	follow.Notify(s.vmsRefresh)
 }
 
 // follow applies changes in the store to the controller until ctx is done.
@@ -137,7 +137,7 @@
 	vms := newFollower(platform.TopicVMs, func(b follow.Batch) {
 		control.ApplyVMRecords(b)
 		if b.Snapshot && !s.containsOwnRecord(b) {
-			notify(s.announceNeeded)
+			follow.Notify(s.announceNeeded)
 		}
 	}, follow.WithInterval(vmsReadInterval), follow.WithWakeups(s.vmsRefresh))
 	copies := newCopies(s.store, s.eras)
@@ -235,14 +235,6 @@
 	})
 }
 
-// notify sends to a channel of capacity 1 without blocking. If a signal is pending already, it does nothing.
-func notify(signals chan<- struct{}) {
-	select {
-	case signals <- struct{}{}:
-	default:
-	}
-}
-
 // announce writes this VM's record whenever announceNeeded is signaled, and then has the list of VMs read again. So of
 // any two VMs that start together at least one finds the other's record, and the other hears of it from its beacons.
 // Waiting reads of the list would answer every VM whenever a VM starts.
@@ -263,10 +255,10 @@
 		cancel()
 		if err == nil {
 			s.log.Info("vm-announced", zap.String("Address", s.ownRecord.Address))
-			notify(s.vmsRefresh)
+			follow.Notify(s.vmsRefresh)
 			continue
 		}
 		s.log.Warn("vm-not-announced", zap.Error(err))
-		time.AfterFunc(announceRetryDelay, func() { notify(s.announceNeeded) })
+		time.AfterFunc(announceRetryDelay, func() { follow.Notify(s.announceNeeded) })
 	}
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -192,20 +192,21 @@
 // read begins there. It may be called while Run runs.
 func (f *Follower) Advance(offset, era uint64) {
 	f.advanced.Store(&position{offset, era})
-	f.signal()
+	Notify(f.signals)
 }
 
 // SetPaused sets whether the follower reads at wakeups only, since what is appended becomes known from elsewhere. A pause ends a
 // waiting read. It may be called while Run runs.
 func (f *Follower) SetPaused(paused bool) {
 	if f.paused.Swap(paused) != paused {
-		f.signal()
+		Notify(f.signals)
 	}
 }
 
-func (f *Follower) signal() {
+// Notify sends to a channel of capacity 1 without blocking. If a signal is pending already, it does nothing.
+func Notify(signals chan<- struct{}) {
 	select {
-	case f.signals <- struct{}{}:
+	case signals <- struct{}{}:
 	default:
 	}
 }
--- a/gateway/beacons.go
+++ b/gateway/beacons.go
@@ -42,12 +42,9 @@
 	case peer.ScopeDeclarations, peer.ScopeDeclarationsRequest:
 		c.handleDeclarationsMessage(b, from)
 		return
-	case peer.ScopeStreams, peer.ScopeStreamsRequest:
+	case peer.ScopeStreams, peer.ScopeStreamsRequest, peer.ScopeStreamsQuestion, peer.ScopeStreamsAnswer:
 		c.handleStreamsMessage(b, from)
 		return
-	case peer.ScopeStreamsQuestion, peer.ScopeStreamsAnswer:
-		c.handleStreamsQuestion(b, from)
-		return
 	default:
 		c.handleSummary(b)
 		return
--- a/gateway/entry_watches.go
+++ b/gateway/entry_watches.go
@@ -60,8 +60,7 @@
 		return
 	}
 	c.watches.readAt = now
-	c.listSchedule.requestedAt = now
-	c.readList()
+	c.requestListRead(now)
 }
 
 // watchesDueIn returns the time until the list is read for answers that wait for entries.
--- a/gateway/list_reads.go
+++ b/gateway/list_reads.go
@@ -152,6 +152,12 @@
 	if c.listReadDueIn(now) > 0 {
 		return
 	}
-	c.listSchedule.requestedAt, c.listSchedule.tookOver = now, !c.listSchedule.stale
+	c.listSchedule.tookOver = !c.listSchedule.stale
+	c.requestListRead(now)
+}
+
+// requestListRead triggers a read of the replica list.
+func (c *Controller) requestListRead(now time.Time) {
+	c.listSchedule.requestedAt = now
 	c.readList()
 }
--- a/gateway/outdated_versions_test.go
+++ b/gateway/outdated_versions_test.go
@@ -151,7 +151,7 @@
 	f.run(4 * time.Second)
 	v, other := f.vms[1], f.vms[4]
 	answer := peer.Beacon{VM: other.self.VM, Answer: &resumption.Answer{Versions: map[string][]string{"p": {"", "v2"}}}}
-	v.handleStreamsQuestion(answer, other.address)
+	v.handleStreamsMessage(answer, other.address)
 	assert.Equal(t, resumption.SeveralVersions, v.findOrigin(f.now, "begun-elsewhere", "p", true).unknown)
 }
 
--- a/gateway/stream_inquiries.go
+++ b/gateway/stream_inquiries.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/follow"
 	"github.com/cassiabridge/cassiabridge/peer"
 	"github.com/cassiabridge/cassiabridge/resumption"
 )
@@ -57,12 +57,11 @@
 		c.sendSummary(message, c.addressesOf(append(audience.Heard, audience.Silent...)))
 		// While reads fail they are tried again anyway.
 		if c.replicas.everRead && !c.storeLost {
-			c.listSchedule.requestedAt = now
-			c.readList()
+			c.requestListRead(now)
 		}
 	}
 	if c.inquiries.TakeRecordsWanted(c.hasSeveralVersions) {
-		notify(c.recordsWanted)
+		follow.Notify(c.recordsWanted)
 	}
 	evidence := resumption.Evidence{ListReadAt: c.listSchedule.completeAt, RecordsReadAt: c.recordsReadAt, SeveralVersions: c.hasSeveralVersions,
 		Remembers: func(attempt string) bool { return c.streams.Remembers(now, attempt) }}
@@ -73,14 +72,6 @@
 	c.inquiries.Settle(now, evidence)
 }
 
-// notify sends to a channel of capacity 1 without blocking. If a signal is pending already, it does nothing.
-func notify(signals chan<- struct{}) {
-	select {
-	case signals <- struct{}{}:
-	default:
-	}
-}
-
 // audience returns the peers that may know of streams: all but those that have stopped, or have not been heard for long.
 func (c *Controller) audience(now time.Time) resumption.Audience {
 	audience := resumption.Audience{Alone: len(c.peers) == 0 && c.vmListRead}
@@ -95,23 +86,18 @@
 	return audience
 }
 
-// handleStreamsQuestion answers a peer that asks for streams, or records such an answer.
-func (c *Controller) handleStreamsQuestion(b peer.Beacon, from netip.AddrPort) {
-	p := c.peers[b.VM]
-	if p == nil || !sameAddress(p.address, from) {
-		return
-	}
-	now := c.now()
-	switch {
-	case b.Question != nil:
-		message := c.newMessage(peer.ScopeStreamsAnswer)
-		message.Answer = &resumption.Answer{ID: b.Question.ID, Streams: c.streams.Find(now, b.Question.Names), Versions: c.streamVersions()}
-		c.sendSummary(message, []peerAddress{p.address})
-	case b.Answer != nil:
-		c.streams.RecordFound(now, b.Answer.Streams)
-		c.recordPeerVersions(now, b.Answer.Versions)
-		c.inquiries.RecordAnswer(*b.Answer, b.VM)
-	}
+// answerStreamsQuestion answers a peer that asks for streams.
+func (c *Controller) answerStreamsQuestion(now time.Time, p *peerState, question resumption.Question) {
+	message := c.newMessage(peer.ScopeStreamsAnswer)
+	message.Answer = &resumption.Answer{ID: question.ID, Streams: c.streams.Find(now, question.Names), Versions: c.streamVersions()}
+	c.sendSummary(message, []peerAddress{p.address})
+}
+
+// recordStreamsAnswer records the answer of a peer that was asked for streams.
+func (c *Controller) recordStreamsAnswer(now time.Time, vm string, answer resumption.Answer) {
+	c.streams.RecordFound(now, answer.Streams)
+	c.recordPeerVersions(now, answer.Versions)
+	c.inquiries.RecordAnswer(answer, vm)
 }
 
 // recordPeerVersions records software versions of which a peer knows and that this VM does not list: streams may have begun at them.
--- a/gateway/stream_records.go
+++ b/gateway/stream_records.go
@@ -91,35 +91,35 @@
 		c.log.Info("streams-not-read", zap.Error(err))
 		return
 	}
-	found := 0
+	c.eachStreamRecord(records, func(_ follow.Record, report resumption.Report) {
+		c.post(func() { c.streams.RecordFound(c.now(), report) })
+	})
+	c.post(func() { c.recordsReadAt = sentAt })
+	c.log.Info("streams-read", zap.Int("VMs", len(records)))
+}
+
+// eachStreamRecord decodes the records of VMs' streams, and calls apply with each that is readable.
+func (c *Controller) eachStreamRecord(records []follow.Record, apply func(follow.Record, resumption.Report)) {
 	for _, record := range records {
 		var report resumption.Report
 		if err := json.Unmarshal(record.Value, &report); err != nil {
 			c.log.Warn("streams-unreadable", zap.String("Peer", record.Key), zap.Error(err))
 			continue
 		}
-		found++
-		c.post(func() { c.streams.RecordFound(c.now(), report) })
+		apply(record, report)
 	}
-	c.post(func() { c.recordsReadAt = sentAt })
-	c.log.Info("streams-read", zap.Int("VMs", found))
 }
 
 // applyStreamRecords remembers the streams of all VMs, and returns the record of this VM.
 func (c *Controller) applyStreamRecords(records []follow.Record) (own string) {
-	for _, record := range records {
-		var report resumption.Report
-		if err := json.Unmarshal(record.Value, &report); err != nil {
-			c.log.Warn("streams-unreadable", zap.String("Peer", record.Key), zap.Error(err))
-			continue
-		}
+	c.eachStreamRecord(records, func(record follow.Record, report resumption.Report) {
 		if record.Key == c.self.VM {
 			own = string(record.Value)
 			c.post(func() { c.streams.RestoreOwn(c.now(), report) })
-			continue
+			return
 		}
 		c.post(func() { c.streams.RecordPeer(c.now(), report) })
-	}
+	})
 	c.log.Info("streams-adopted", zap.Int("VMs", len(records)))
 	return own
 }
@@ -161,5 +161,5 @@
 	if len(c.poolsOfSeveralVersions()) == 0 {
 		return
 	}
-	notify(c.streamsBegun)
+	follow.Notify(c.streamsBegun)
 }
--- a/gateway/told_streams.go
+++ b/gateway/told_streams.go
@@ -26,22 +26,32 @@
 	c.sendSummary(request, c.addressesOf([]string{b.VM}))
 }
 
-// handleStreamsMessage handles a page of streams, or a request for one, unless its sender is unknown.
+// handleStreamsMessage handles a message about streams, unless its sender is unknown.
 func (c *Controller) handleStreamsMessage(b peer.Beacon, from netip.AddrPort) {
 	p := c.peers[b.VM]
 	if p == nil || !sameAddress(p.address, from) {
 		return
 	}
 	now := c.now()
-	if b.Scope == peer.ScopeStreams {
-		// A page that a beacon has overtaken may hold origins that were corrected since.
-		if b.Incarnation == p.incarnation && b.Sequence >= p.sequence {
-			c.recordPeerStreams(now, b)
-		}
-		return
+	switch {
+	case b.Scope == peer.ScopeStreams:
+		c.recordStreamsPage(now, p, b)
+	case b.Scope == peer.ScopeStreamsRequest:
+		answer := c.newMessage(peer.ScopeStreams)
+		answer.Sequence = c.beacon.sequence
+		answer.Streams = c.streams.PageFrom(now, b.Streams.From)
+		c.sendSummary(answer, []peerAddress{p.address})
+	case b.Question != nil:
+		c.answerStreamsQuestion(now, p, *b.Question)
+	case b.Answer != nil:
+		c.recordStreamsAnswer(now, b.VM, *b.Answer)
+	}
+}
+
+// recordStreamsPage records the streams of a page that this VM has asked for. One that a beacon has overtaken may hold origins that were
+// corrected since.
+func (c *Controller) recordStreamsPage(now time.Time, p *peerState, b peer.Beacon) {
+	if b.Incarnation == p.incarnation && b.Sequence >= p.sequence {
+		c.recordPeerStreams(now, b)
 	}
-	answer := c.newMessage(peer.ScopeStreams)
-	answer.Sequence = c.beacon.sequence
-	answer.Streams = c.streams.PageFrom(now, b.Streams.From)
-	c.sendSummary(answer, []peerAddress{p.address})
 }
