gateway: waiting callers cost the event loop less

Cause: while callers waited for the origin of a stream, each turn of the event loop listed all peers, and computed the versions of a pool once for each caller, though it asks only now and then and all callers of a turn see the same.

Change: peers are listed when a question is due or the store is lost, and each pool is looked at once a turn. QuestionDue and TakeQuestion are two steps. Decisions stay.

The time saved was not measured.

--- a/gateway/stream_inquiries.go
+++ b/gateway/stream_inquiries.go
@@ -33,9 +33,7 @@
 		decide(c.findOrigin(now, attempt, pool, true))
 		return
 	}
-	audience := c.audience(now)
-	if c.storeLost && len(audience.Heard) == 0 && !audience.Alone {
-		// There is nobody to ask.
+	if c.storeLost && !c.canAskPeers(now) {
 		decide(c.findOrigin(now, attempt, pool, false))
 		return
 	}
@@ -50,20 +48,14 @@
 	if !c.inquiries.Any() {
 		return
 	}
-	audience := c.audience(now)
-	if question, due := c.inquiries.TakeQuestion(now, audience); due {
-		message := c.newMessage(peer.ScopeStreamsQuestion)
-		message.Question = &question
-		c.sendSummary(message, c.addressesOf(append(audience.Heard, audience.Silent...)))
-		// While reads fail they are tried again anyway.
-		if c.replicas.everRead && !c.storeLost {
-			c.requestListRead(now)
-		}
+	if c.inquiries.QuestionDue(now) {
+		c.askForStreams(now)
 	}
-	if c.inquiries.TakeRecordsWanted(c.hasSeveralVersions) {
+	several := c.severalVersionsByPool()
+	if c.inquiries.TakeRecordsWanted(several) {
 		follow.Notify(c.recordsWanted)
 	}
-	evidence := resumption.Evidence{ListReadAt: c.listSchedule.completeAt, RecordsReadAt: c.recordsReadAt, SeveralVersions: c.hasSeveralVersions,
+	evidence := resumption.Evidence{ListReadAt: c.listSchedule.completeAt, RecordsReadAt: c.recordsReadAt, SeveralVersions: several,
 		Remembers: func(attempt string) bool { return c.streams.Remembers(now, attempt) }}
 	if evidence.ListReadAt.Before(c.replicas.trustFrom) {
 		// Entries may have been missing from the list.
@@ -72,6 +64,38 @@
 	c.inquiries.Settle(now, evidence)
 }
 
+// askForStreams asks all peers for the streams that callers take up, and has the list of replicas read.
+func (c *Controller) askForStreams(now time.Time) {
+	audience := c.audience(now)
+	question := c.inquiries.TakeQuestion(now, audience)
+	message := c.newMessage(peer.ScopeStreamsQuestion)
+	message.Question = &question
+	c.sendSummary(message, c.addressesOf(append(audience.Heard, audience.Silent...)))
+	// While reads fail they are tried again anyway.
+	if c.replicas.everRead && !c.storeLost {
+		c.requestListRead(now)
+	}
+}
+
+// severalVersionsByPool returns hasSeveralVersions for many callers at one moment, which looks at each pool once.
+func (c *Controller) severalVersionsByPool() func(pool string) bool {
+	known := map[string]bool{}
+	return func(pool string) bool {
+		several, found := known[pool]
+		if !found {
+			several = c.hasSeveralVersions(pool)
+			known[pool] = several
+		}
+		return several
+	}
+}
+
+// canAskPeers reports whether a peer is heard that can be asked for streams, or there are no others.
+func (c *Controller) canAskPeers(now time.Time) bool {
+	audience := c.audience(now)
+	return len(audience.Heard) > 0 || audience.Alone
+}
+
 // audience returns the peers that may know of streams: all but those that have stopped, or have not been heard for long.
 func (c *Controller) audience(now time.Time) resumption.Audience {
 	audience := resumption.Audience{Alone: len(c.peers) == 0 && c.vmListRead}
--- a/resumption/inquiry.go
+++ b/resumption/inquiry.go
@@ -93,11 +93,13 @@
 // Any reports whether there are open inquiries.
 func (q *Inquiries) Any() bool { return len(q.open) > 0 }
 
-// TakeQuestion returns the question that is due to all peers, if one is, and counts it as asked.
-func (q *Inquiries) TakeQuestion(now time.Time, to Audience) (Question, bool) {
-	if now.Before(q.askAt) || !slices.ContainsFunc(q.open, func(i *Inquiry) bool { return i.round == nil }) {
-		return Question{}, false
-	}
+// QuestionDue reports whether a question is due to all peers.
+func (q *Inquiries) QuestionDue(now time.Time) bool {
+	return !now.Before(q.askAt) && slices.ContainsFunc(q.open, func(i *Inquiry) bool { return i.round == nil })
+}
+
+// TakeQuestion returns the question that is due to all peers, and counts it as asked.
+func (q *Inquiries) TakeQuestion(now time.Time, to Audience) Question {
 	peers := len(to.Heard) + len(to.Silent)
 	q.askAt = now.Add(max(minQuestionInterval, time.Duration(peers)*time.Second/questionsPerSecond))
 	q.lastID++
@@ -110,7 +112,7 @@
 			question.Names = append(question.Names, nameOf(inquiry.Attempt))
 		}
 	}
-	return question, true
+	return question
 }
 
 // RecordAnswer records that a peer has answered a question. A peer that does not know all versions, as after its start, can tell of streams, and
--- a/resumption/inquiry_test.go
+++ b/resumption/inquiry_test.go
@@ -44,8 +44,8 @@
 					state = current
 				}
 			})
-			_, asked := q.TakeQuestion(start, c.audience)
-			assert.True(t, asked)
+			assert.True(t, q.QuestionDue(start))
+			q.TakeQuestion(start, c.audience)
 			for peer, answer := range c.answers {
 				q.RecordAnswer(answer, peer)
 			}
@@ -61,10 +61,10 @@
 	for range maxPageStreams + 1 {
 		q.Open(start, "attempt", pool, func(bool) {})
 	}
-	question, _ := q.TakeQuestion(start, Audience{Alone: true})
-	assert.Len(t, question.Names, maxPageStreams)
-	_, asked := q.TakeQuestion(start, Audience{Alone: true})
-	assert.False(t, asked, "one question at a time")
-	question, _ = q.TakeQuestion(start.Add(minQuestionInterval), Audience{Alone: true})
-	assert.Len(t, question.Names, 1)
+	assert.Len(t, q.TakeQuestion(start, Audience{Alone: true}).Names, maxPageStreams)
+	assert.False(t, q.QuestionDue(start), "one question at a time")
+	next := start.Add(minQuestionInterval)
+	assert.True(t, q.QuestionDue(next))
+	assert.Len(t, q.TakeQuestion(next, Audience{Alone: true}).Names, 1)
+	assert.False(t, q.QuestionDue(next.Add(time.Hour)), "all have been asked for")
 }
