--- a/soak/layout.go
+++ b/soak/layout.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"github.com/cassiabridge/cassiabridge/standin"
 )
 
 // layout says what a site consists of and what its callers ask for.
@@ -41,9 +43,9 @@
 }
 
 const (
-	streaming     = "streaming"
-	idempotent    = "idempotent"
-	nonIdempotent = "non_idempotent"
+	streaming     = standin.RouteStreaming
+	idempotent    = standin.RouteIdempotent
+	nonIdempotent = standin.RouteNonIdempotent
 	// engineSlots, maxConnections and one token an event are those of services where no site says otherwise.
 	engineSlots    = 48
 	maxConnections = 300
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -30,7 +30,6 @@
 	listenTimeout = 3 * time.Second
 	// copyShare is one in how many answers comes twice where that happens.
 	copyShare  = 6
-	healthPath = "/health"
 	reportPath = "/api/report"
 	handlePath = "/api/kv-handle/"
 	// controlPrefix begins the paths of calls that concern the replica.
@@ -285,7 +284,7 @@
 	switch {
 	case r.URL.Path == reportPath:
 		return send(http.StatusOK, jsonType, s.latestReport())
-	case r.URL.Path == healthPath, strings.HasPrefix(r.URL.Path, handlePath):
+	case r.URL.Path == standin.HealthPath, strings.HasPrefix(r.URL.Path, handlePath):
 		return send(http.StatusOK, "Instance-Id: "+s.ID+"\r\n", "")
 	}
 	prefill := r.Header.Get(standin.HeaderStage) == "prefill"
@@ -308,9 +307,13 @@
 		return send(http.StatusBadRequest, notExecuted, err.Error())
 	}
 	if prefill {
-		return send(http.StatusOK, jsonType, fmt.Sprintf(`{"kvHandle":"%s","tokens":%d,"version":%d}`, wanted.Name, promptTokens, weightVersion))
+		data, err := json.Marshal(standin.PrefillAnswer(wanted.Name, promptTokens))
+		if err != nil {
+			return false
+		}
+		return send(http.StatusOK, jsonType, string(data))
 	}
-	if source := r.Header.Get("Kv-Source"); source != "" {
+	if source := r.Header.Get(standin.HeaderSource); source != "" {
 		_, wanted.Name, _ = strings.Cut(source, "/")
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -54,12 +54,12 @@
 
 func TestReplicaRefusesWhatNamesAnotherReplica(t *testing.T) {
 	s := newReplicaServer(replicaConfig{ID: "replica-1-2", Stage: "decode"})
-	for _, path := range []string{reportPath, healthPath, "/check/c1-1"} {
+	for _, path := range []string{reportPath, standin.HealthPath, "/check/c1-1"} {
 		resp := ask(t, s, http.MethodGet, path, "", http.Header{standin.HeaderReplica: {"replica-1-1"}})
 		assert.Equal(t, http.StatusMisdirectedRequest, resp.StatusCode, path)
 		assert.Equal(t, "replica-1-2", resp.Header.Get("Instance-Id"), path)
 	}
-	resp := ask(t, s, http.MethodGet, healthPath, "", http.Header{standin.HeaderReplica: {"replica-1-2"}})
+	resp := ask(t, s, http.MethodGet, standin.HealthPath, "", http.Header{standin.HeaderReplica: {"replica-1-2"}})
 	assert.Equal(t, "replica-1-2", resp.Header.Get("Instance-Id"))
 }
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -118,7 +118,7 @@
 		Tenants: []map[string]any{{"name": "schools", "apiKeys": []string{siteKey}, "unit": "token_count", "uncachedTokens": 200, "ratePerS": 1e9, "burst": 1e9}},
 	}
 	for _, s := range l.services {
-		fields := map[string]any{"name": s.Name, "healthPath": healthPath, "maxConnections": s.MaxConnections}
+		fields := map[string]any{"name": s.Name, "healthPath": standin.HealthPath, "maxConnections": s.MaxConnections}
 		if s.Stride > 0 {
 			fields["engine"] = map[string]any{"slots": s.Slots, "kvCapacityTokens": s.CapacityTokens, "kvBytes": 163840, "kvRetentionS": 0.5, "stride": s.Stride}
 		}
--- a/standin/configuration.go
+++ b/standin/configuration.go
@@ -15,7 +15,7 @@
 	HeaderHold      = "Kv-Hold"
 	HeaderPriority  = "Request-Priority"
 	headerNotRun    = "Not-Executed"
-	headerSource    = "Kv-Source"
+	HeaderSource    = "Kv-Source"
 
 	headerRequestLimit = "Server-Limit"
 	headerLeaving      = "Server-Leaving"
@@ -37,12 +37,22 @@
 	prefillAnswer func(handle string, tokens int) any
 }
 
+// Kinds of routes of the users' platform.
+const (
+	RouteStreaming     = "streaming"
+	RouteIdempotent    = "idempotent"
+	RouteNonIdempotent = "non_idempotent"
+)
+
+// PrefillAnswer returns the JSON body that answers a prefill request on the users' platform.
+func PrefillAnswer(handle string, tokens int) any {
+	return map[string]any{"kvHandle": handle, "tokens": tokens, "version": 1}
+}
+
 // platformProtocol is the protocol of the users' platform, and nativeProtocol the router's own.
 var (
-	platformProtocol = replicaProtocol{attempt: HeaderAttempt, tokens: HeaderTokens, replica: HeaderReplica, stage: HeaderStage, prefill: "prefill", source: headerSource,
-		notRun: headerNotRun, resultPath: "/api/kv-handle/", prefillAnswer: func(handle string, tokens int) any {
-			return map[string]any{"kvHandle": handle, "tokens": tokens, "version": 1}
-		}}
+	platformProtocol = replicaProtocol{attempt: HeaderAttempt, tokens: HeaderTokens, replica: HeaderReplica, stage: HeaderStage, prefill: "prefill", source: HeaderSource,
+		notRun: headerNotRun, resultPath: "/api/kv-handle/", prefillAnswer: PrefillAnswer}
 	nativeProtocol = replicaProtocol{attempt: NativeHeaderAttempt, tokens: NativeHeaderTokens, replica: "Cassiabridge-Upstream", stage: "Cassiabridge-Stage", prefill: "Prefill",
 		source: "Cassiabridge-Source", notRun: "Cassiabridge-Not-Run", resultPath: "/results/", prefillAnswer: func(handle string, tokens int) any {
 			return map[string]any{"Handle": handle, "Tokens": tokens}
