--- a/gateway/entry_watches_test.go
+++ b/gateway/entry_watches_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
-	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
 )
 
@@ -53,11 +50,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
-			resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-				ConfirmEnd: s.endConfirmation(r, replica)})
-			require.NoError(t, err)
-			defer resp.Close()
-			_, err = resp.ReadAll(1 << 10)
+			err := readConfirmed(ctx, t, s, r, replica)
 			assert.Equal(t, c.whole, err == nil, "%v", err)
 		})
 	}
--- a/gateway/process_checks_test.go
+++ b/gateway/process_checks_test.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// readConfirmed reads an answer of a replica to its end, which is confirmed for a request, and returns the error of that.
+func readConfirmed(ctx context.Context, t *testing.T, s *Server, r *request, replica placement.Replica) error {
+	t.Helper()
+	resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
+		ConfirmEnd: s.endConfirmation(r, replica)})
+	require.NoError(t, err)
+	defer resp.Close()
+	_, err = resp.ReadAll(1 << 10)
+	return err
+}
+
 // TestEndOfAnEndedProcessCompletesAnAnswer guards against an answer without framing that is whole although the process that wrote it has
 // ended, or that is truncated although it lives.
 func TestEndOfAnEndedProcessCompletesAnAnswer(t *testing.T) {
@@ -112,11 +123,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), wait)
 			defer cancel()
-			resp, err := server.upstreams.Do(ctx, replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-				ConfirmEnd: server.endConfirmation(&request{}, replica)})
-			require.NoError(t, err)
-			defer resp.Close()
-			_, err = resp.ReadAll(1 << 10)
+			err := readConfirmed(ctx, t, server, &request{}, replica)
 			assert.Equal(t, s.whole, err == nil, "%v", err)
 			assert.Equal(t, s.waits, ctx.Err() != nil, "the check ends as soon as something tells of the process, and not before")
 		})
--- a/gateway/process_evidence_test.go
+++ b/gateway/process_evidence_test.go
@@ -65,11 +65,7 @@
 			replica := placement.Replica{ID: "r", Address: startReporter(t, func(net.Listener) {}, report), Born: 7, Stage: placement.StageDecode}
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
-			resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-				ConfirmEnd: s.endConfirmation(&request{}, replica)})
-			require.NoError(t, err)
-			defer resp.Close()
-			_, err = resp.ReadAll(1 << 10)
+			err := readConfirmed(ctx, t, s, &request{}, replica)
 			assert.Error(t, err)
 		})
 	}
@@ -83,13 +79,9 @@
 	runControl(t, s, replica)
 	cut := 0
 	for range 5 {
-		resp, err := s.upstreams.Do(t.Context(), replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-			ConfirmEnd: s.endConfirmation(&request{}, replica)})
-		require.NoError(t, err)
-		if _, err := resp.ReadAll(1 << 10); err != nil {
+		if readConfirmed(t.Context(), t, s, &request{}, replica) != nil {
 			cut++
 		}
-		resp.Close()
 	}
 	assert.LessOrEqual(t, cut, 1, "the first check names the process, later answers are its own")
 }
--- a/gateway/silent_replica_test.go
+++ b/gateway/silent_replica_test.go
@@ -12,12 +12,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cassiabridge/cassiabridge/attempt"
-	"github.com/cassiabridge/cassiabridge/exchange"
 	"github.com/cassiabridge/cassiabridge/placement"
 	"github.com/cassiabridge/cassiabridge/routing"
 )
 
-// silentFor returns a report of a process that is silent for a second from the first request on.
+// silentFor returns a report of a process that is silent for a period from the first request on.
 func silentFor(period time.Duration) func(net.Conn) {
 	var until atomic.Pointer[time.Time]
 	return func(conn net.Conn) {
@@ -50,11 +49,7 @@
 			replica := placement.Replica{ID: "r", Address: startReporter(t, func(net.Listener) {}, report), Born: 7}
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
-			resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-				ConfirmEnd: s.endConfirmation(&request{}, replica)})
-			require.NoError(t, err)
-			defer resp.Close()
-			_, err = resp.ReadAll(1 << 10)
+			err := readConfirmed(ctx, t, s, &request{}, replica)
 			assert.NoError(t, err)
 		})
 	}
