gateway: ages in the simulation are checked against the links they crossed

Cause: the check allows 60 ms in transit for every message: two region delays and 20 ms. While all VMs start, messages wait on the links: a group summary told of a read 505 ms ago that was 565 ms ago, of which the receiver can know nothing. Change: the simulation keeps for each VM how long what it knows was on links, and allows just that and 1 ms, the unit of the ages. It is stricter wherever nothing waits.

--- a/gateway/fleet_simulation_store_test.go
+++ b/gateway/fleet_simulation_store_test.go
@@ -74,6 +74,7 @@
 		return int(records) * simEntryBytes
 	}, func() {
 		v.listSnapshot, f.listReadAt = true, f.now
+		v.listReading.hear(f.now, 0)
 		v.listNext = max(v.listNext, update.Next)
 		v.applyReplicas(f.now, update)
 		f.endRead(v)
@@ -128,6 +129,7 @@
 		return 200
 	}, func() {
 		f.checkedAt = f.now
+		v.checkReading.hear(f.now, 0)
 		v.RecordDeclarationsCheck()
 		if version > v.version() {
 			f.readConfig(v)
--- a/gateway/fleet_simulation_test.go
+++ b/gateway/fleet_simulation_test.go
@@ -37,6 +37,8 @@
 	simRetryDelay = 700 * time.Millisecond
 	// simRewriteInterval is how often each replica writes its entry again, without a change of the list.
 	simRewriteInterval = 1200 * time.Millisecond
+	// simAgeUnit is the unit of the ages in messages.
+	simAgeUnit = time.Millisecond
 )
 
 // simVM is one VM of a simFleet.
@@ -61,6 +63,8 @@
 	listReads    int
 	// reading is whether a read of the list is in flight, and readAgain whether another one has been asked for meanwhile.
 	reading, readAgain bool
+	// listReading and checkReading are the newest read of the list and the newest check of the declarations that it knows of.
+	listReading, checkReading simReading
 	// waitsForConfig is whether this VM keeps a waiting read of the declarations.
 	waitsForConfig bool
 	configReads    int
@@ -299,19 +303,53 @@
 			if other.silentBuild {
 				received = withAllCapabilities(b)
 			}
-			f.onVM(other, at, func() { other.handleBeacon(received, v.address) })
+			list, check, link := v.listReading, v.checkReading, at.Sub(f.now)
+			f.onVM(other, at, func() {
+				other.hearAges(b, at, list, check, link)
+				other.handleBeacon(received, v.address)
+			})
 		}
 	}
 	return nil
 }
 
-// checkAges records a message that tells of a later read or check than there has been.
+// simReading is the newest read of the store that a VM has been told of: when that was by the ages of the messages, and how long these
+// were on the links, which no receiver knows.
+type simReading struct {
+	at        time.Time
+	inTransit time.Duration
+}
+
+// hear keeps a reading if it is newer than the known one.
+func (r *simReading) hear(at time.Time, inTransit time.Duration) {
+	if at.After(r.at) {
+		*r = simReading{at: at, inTransit: inTransit}
+	}
+}
+
+// hearAges keeps what a message that arrives at a time says of the last read of the list and the last check. The sender knew the given
+// readings, and the message was on links for a time.
+func (v *simVM) hearAges(b peer.Beacon, at time.Time, list, check simReading, link time.Duration) {
+	if b.ListAge >= 0 {
+		v.listReading.hear(at.Add(-b.ListAge), list.inTransit+link)
+	}
+	if b.List != nil && b.List.Age >= 0 {
+		v.listReading.hear(at.Add(-b.List.Age), list.inTransit+link)
+	}
+	if b.CheckAge >= 0 {
+		v.checkReading.hear(at.Add(-b.CheckAge), check.inTransit+link)
+	}
+}
+
+// checkAges records a message that tells of a later read or check than there has been, but for the time that what it tells was on links.
 func (f *simFleet) checkAges(v *simVM, b peer.Beacon) {
-	// A receiver does not know how long a message was on its way: to a mate, from there to another group, and to its VMs.
-	const inTransit = 2*simRegionDelay + 20*time.Millisecond
-	tooYoung := func(age time.Duration, at time.Time) bool { return age >= 0 && f.now.Add(-age-inTransit).After(at) }
-	if b.List != nil && tooYoung(b.List.Age, f.listReadAt) || tooYoung(b.ListAge, f.listReadAt) || tooYoung(b.CheckAge, f.checkedAt) {
-		f.tooYoung = append(f.tooYoung, fmt.Sprintf("%v: %s %s list %v, %v ago, check %v, %v ago", f.now.Sub(f.start), v.self.VM, b.Scope, b.ListAge, f.now.Sub(f.listReadAt), b.CheckAge, f.now.Sub(f.checkedAt)))
+	tooYoung := func(age time.Duration, last time.Time, known simReading) bool {
+		return age >= 0 && f.now.Add(-age-known.inTransit-simAgeUnit).After(last)
+	}
+	list := tooYoung(b.ListAge, f.listReadAt, v.listReading) || b.List != nil && tooYoung(b.List.Age, f.listReadAt, v.listReading)
+	if list || tooYoung(b.CheckAge, f.checkedAt, v.checkReading) {
+		f.tooYoung = append(f.tooYoung, fmt.Sprintf("%v: %s %s list %v, %v ago, on links for %v, check %v, %v ago, on links for %v", f.now.Sub(f.start), v.self.VM, b.Scope,
+			b.ListAge, f.now.Sub(f.listReadAt), v.listReading.inTransit, b.CheckAge, f.now.Sub(f.checkedAt), v.checkReading.inTransit))
 	}
 }
 
