liveness: one type owns what is believed of a replica's process

Change: liveness.Belief, an immutable value without I/O, which each state found, each renewal and each change of version moves on. placement keeps one for each replica; RecordProcess takes the place of MarkEnded, MarkSilent, MarkAnswering, MarkRestarted and MarkLiving. Behaviour is kept.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -61,37 +61,25 @@
 func (c *Controller) recordProcess(replica placement.Replica, state liveness.State, onDoubt func()) {
 	c.post(func() {
 		listed, exists := c.scheduler.Replica(replica.ID)
-		switch {
-		case !exists || listed.Born != replica.Born:
+		if !exists || listed.Born != replica.Born {
 			// The entry has been renewed since.
-		case state == liveness.Lives:
-			c.returnStreams(listed, c.scheduler.MarkLiving(replica.ID))
-		case state == liveness.Unnamed:
-			c.scheduler.MarkAnswering(replica.ID)
-		case !state.ConfirmsEnd():
-			c.recordEndedProcess(replica, state, onDoubt)
+			return
+		}
+		now := c.now()
+		before, after := c.scheduler.RecordProcess(now, replica.ID, state)
+		switch state {
+		case liveness.Lives:
+			c.returnStreams(listed, before.DoubtedSince())
+		case liveness.Restarted:
+			c.reassignStreams(now, replica, after.DoubtedSince())
+		}
+		if after.Doubted(now) && !before.Doubted(now) {
+			c.log.Info("replica-ended", zap.String("Replica", replica.ID), zap.String("Process", string(state)), zap.String("Address", replica.Address), zap.String("SoftwareVersion", replica.SoftwareVersion))
+			onDoubt()
 		}
 	})
 }
 
-// recordEndedProcess is recordProcess for the control goroutine and a process that does not live or did not answer.
-func (c *Controller) recordEndedProcess(replica placement.Replica, state liveness.State, onDoubt func()) {
-	now := c.now()
-	mark := c.scheduler.MarkEnded
-	if state == liveness.Silent {
-		mark = c.scheduler.MarkSilent
-	}
-	doubted := mark(now, replica.ID)
-	if state == liveness.Restarted {
-		c.reassignStreams(now, replica, c.scheduler.MarkRestarted(now, replica.ID))
-	}
-	if !doubted {
-		return
-	}
-	c.log.Info("replica-ended", zap.String("Replica", replica.ID), zap.String("Process", string(state)), zap.String("Address", replica.Address), zap.String("SoftwareVersion", replica.SoftwareVersion))
-	onDoubt()
-}
-
 // returnStreams gives the streams that have begun at a replica since a time, while its process was in doubt, its version again: the process
 // lives that was listed all the while. A zero time means that it was not in doubt.
 func (c *Controller) returnStreams(replica placement.Replica, since time.Time) {
--- a/gateway/process_evidence_test.go
+++ b/gateway/process_evidence_test.go
@@ -93,7 +93,7 @@
 	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: "127.0.0.1:1"}
 	now := time.Now()
 	s.control.applyReplicas(now, ReplicaUpdate{Next: 1, Listed: []placement.Replica{replica}, versions: map[string]EntryVersion{"r": {Born: 7}}})
-	s.control.scheduler.MarkRestarted(now, "r")
+	s.control.scheduler.RecordProcess(now, "r", liveness.Restarted)
 	later := now.Add(20 * time.Second)
 	assert.True(t, s.control.scheduler.VersionDoubted(later, "r", later), "the entry has not been renewed")
 }
--- a/gateway/unread_entries.go
+++ b/gateway/unread_entries.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiabridge/cassiabridge/liveness"
 	"github.com/cassiabridge/cassiabridge/placement"
 )
 
@@ -29,7 +30,7 @@
 	if !c.entriesUnread(now) || !tellsOfProcess(replica) {
 		return
 	}
-	c.scheduler.MarkSilent(now.Add(-time.Nanosecond), replica.ID)
+	c.scheduler.RecordProcess(now.Add(-time.Nanosecond), replica.ID, liveness.Silent)
 	c.checkReplica(replica)
 }
 
@@ -42,7 +43,10 @@
 	since := c.listKnownAt()
 	for id := range c.streams.ReplicasSince(since) {
 		replica, listed := c.scheduler.Replica(id)
-		if !listed || !tellsOfProcess(replica) || !c.scheduler.MarkSilent(since, id) {
+		if !listed || !tellsOfProcess(replica) {
+			continue
+		}
+		if before, _ := c.scheduler.RecordProcess(since, id, liveness.Silent); before.Doubted(since) {
 			continue
 		}
 		streams := c.reassignStreams(now, replica, since)
--- a/placement/doubted_versions_test.go
+++ b/placement/doubted_versions_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/cassiabridge/cassiabridge/liveness"
 )
 
 // TestProcessThatStartedAgainKeepsItsVersion guards against answers of a process that has started again that count as of the software
 // version of the one before, and against a doubt that lasts although the process lives.
 func TestProcessThatStartedAgainKeepsItsVersion(t *testing.T) {
-	const period, tick = RestartNoticePeriod, time.Millisecond
+	const period, tick = liveness.RestartNoticePeriod, time.Millisecond
 	const found = 20 * time.Second
 	renew := func(s *Scheduler, version string, now time.Duration) {
 		r, _ := s.Replica("d0")
@@ -28,23 +30,23 @@
 		// usable is whether requests that are held to the version are placed there.
 		usable bool
 	}{
-		"ended":     {func(s *Scheduler) { s.MarkEnded(at(found), "d0") }, map[time.Duration]bool{found - tick: false, found + tick: true}, false},
-		"restarted": {func(s *Scheduler) { s.MarkRestarted(at(found), "d0") }, map[time.Duration]bool{found - period - tick: false, found - period + tick: true, found: true}, false},
+		"ended":     {func(s *Scheduler) { s.RecordProcess(at(found), "d0", liveness.Refuses) }, map[time.Duration]bool{found - tick: false, found + tick: true}, false},
+		"restarted": {func(s *Scheduler) { s.RecordProcess(at(found), "d0", liveness.Restarted) }, map[time.Duration]bool{found - period - tick: false, found - period + tick: true, found: true}, false},
 		"ended, then restarted": {func(s *Scheduler) {
-			s.MarkEnded(at(found-tick), "d0")
-			s.MarkRestarted(at(found), "d0")
+			s.RecordProcess(at(found-tick), "d0", liveness.Refuses)
+			s.RecordProcess(at(found), "d0", liveness.Restarted)
 		}, map[time.Duration]bool{found - period - tick: false, found - period + tick: true}, false},
 		"silent, then living": {func(s *Scheduler) {
-			s.MarkEnded(at(found-tick), "d0")
-			s.MarkLiving("d0")
+			s.RecordProcess(at(found-tick), "d0", liveness.Refuses)
+			s.RecordProcess(at(found), "d0", liveness.Lives)
 		}, map[time.Duration]bool{found - tick: false, found: false}, true},
 		"renewed with another version": {func(s *Scheduler) { renew(s, "v2", found) }, map[time.Duration]bool{found - period - tick: false, found - period: true, found - tick: true, found: false}, true},
 		"ended long before it is renewed with another version": {func(s *Scheduler) {
-			s.MarkEnded(at(found-2*period), "d0")
+			s.RecordProcess(at(found-2*period), "d0", liveness.Refuses)
 			renew(s, "v2", found)
 		}, map[time.Duration]bool{found - 2*period - tick: false, found - 2*period: true, found: false}, true},
 		"renewed with the same version": {func(s *Scheduler) {
-			s.MarkRestarted(at(found), "d0")
+			s.RecordProcess(at(found), "d0", liveness.Restarted)
 			renew(s, "", found)
 		}, map[time.Duration]bool{found - tick: false, found: false}, true},
 	} {
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cassiabridge/cassiabridge/liveness"
 )
 
 const (
@@ -11,10 +13,6 @@
 	initialPrefillRate = 45_000.0
 	// initialLatency is the assumed latency of a service without samples, in seconds.
 	initialLatency = 0.02
-	// versionDoubtPeriod is how long the software version of a replica that has ended is in doubt, if its entry is not renewed.
-	versionDoubtPeriod = 10 * time.Second
-	// RestartNoticePeriod is for how long a process that has started again may serve while its entry is still that of the one before.
-	RestartNoticePeriod = 3 * time.Second
 	// initialBackoff and maxBackoff bound how long a failing replica is skipped.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 4 * time.Second
@@ -111,13 +109,8 @@
 	// replaced reports that another replica answers at the address. It stays set until this replica is listed with
 	// another address or is renewed.
 	replaced bool
-	// endedAt is since when the process of the replica may have ended, as was found since its entry was last renewed, or zero.
-	endedAt time.Time
-	// onlySilent is whether nothing but its silence since endedAt says so.
-	onlySilent bool
-	// changedFrom and changedUntil are since when another software version than the listed one may have answered, and until when, the last
-	// time that the version changed. They are zero if it has not.
-	changedFrom, changedUntil time.Time
+	// process is what is believed of the process that answers.
+	process liveness.Belief
 	// saidLeaving is whether the replica has said in an answer that it is leaving. It stays set in the same way.
 	saidLeaving bool
 	// evacuated is whether the availability zone of the replica is evacuated.
@@ -144,17 +137,6 @@
 	return !r.Leaving && !r.Doubtful && !now.Before(r.backoffUntil) && len(r.unreachableFor) < minUnreachableReports
 }
 
-// answeredInChange reports whether an answer began while it was not known that the software version had changed.
-func (r *replica) answeredInChange(at time.Time) bool {
-	return !at.Before(r.changedFrom) && at.Before(r.changedUntil)
-}
-
-// versionDoubted reports whether another process than the listed one may answer at the address, with another software version: the listed
-// one has ended, and the entry has not been renewed.
-func (r *replica) versionDoubted(now time.Time) bool {
-	return !r.endedAt.IsZero() && now.Sub(r.endedAt) < versionDoubtPeriod
-}
-
 // eligible reports whether the replica may receive new work at all.
 func (r *replica) eligible() bool { return !r.Leaving && !r.saidLeaving && !r.replaced && !r.evacuated }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -100,7 +100,7 @@
 		}
 	} else {
 		if old.SoftwareVersion != listed.SoftwareVersion {
-			old.endedAt = time.Time{}
+			old.process = old.process.WithRenewal()
 		}
 		old.Replica = listed
 	}
@@ -289,8 +289,8 @@
 // counts. It returns since when the process before was in doubt, or zero.
 func (s *Scheduler) Renew(id string) (doubtedSince time.Time) {
 	if r := s.replicas[id]; r != nil {
-		doubtedSince = r.endedAt
-		r.saidLeaving, r.replaced, r.endedAt, r.onlySilent = false, false, time.Time{}, false
+		doubtedSince = r.process.DoubtedSince()
+		r.saidLeaving, r.replaced, r.process = false, false, r.process.WithRenewal()
 	}
 	return doubtedSince
 }
@@ -340,7 +340,7 @@
 func (s *Scheduler) candidates(now time.Time, c criteria) []*replica {
 	var preferred, fallback []*replica
 	for _, r := range s.pool(c.pool) {
-		if !s.matches(r, c) || c.versions.Limited && r.versionDoubted(now) {
+		if !s.matches(r, c) || c.versions.Limited && r.process.Doubted(now) {
 			continue
 		}
 		if c.stage == StageNone && !s.allows(now, r.ID) {
