liveness: that another process has answered is believed until the entry is renewed

Callers could get events of two software versions in one stream, 10 s after a replica had started again under its ID while its entry stayed old, as in an outage of the store. Cause: each doubt ended after 10 s. That is right for silence and refusals, which may be of the way to the replica, and wrong once another process has answered: nothing but a renewal, or the listed process itself, ends that. Change: a doubt whose evidence is Restarted does not expire, and no later refusal takes its place.

--- a/liveness/belief.go
+++ b/liveness/belief.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// doubtPeriod is how long it is in doubt which process answers for a replica, if its entry is not renewed.
+	// doubtPeriod is how long it is in doubt whether another process answers for a replica, if none is found and its entry is not renewed.
 	doubtPeriod = 10 * time.Second
 	// RestartNoticePeriod is for how long a process that has started again may serve while its entry is still that of the one before.
 	RestartNoticePeriod = 3 * time.Second
@@ -37,7 +37,9 @@
 		if !b.Doubted(now) {
 			b.since = now
 		}
-		b.evidence = state
+		if b.evidence != Restarted {
+			b.evidence = state
+		}
 	case Restarted:
 		b.since, b.evidence = b.restartedSince(now), Restarted
 	}
@@ -73,7 +75,7 @@
 
 // Doubted reports whether another process than the listed one may answer at a time, with another software version.
 func (b Belief) Doubted(now time.Time) bool {
-	return !b.since.IsZero() && now.Sub(b.since) < doubtPeriod
+	return !b.since.IsZero() && (b.evidence == Restarted || now.Sub(b.since) < doubtPeriod)
 }
 
 // DoubtedAt reports whether an answer that began at a time may be of another software version than the listed one.
--- a/liveness/belief_test.go
+++ b/liveness/belief_test.go
@@ -43,3 +43,15 @@
 		})
 	}
 }
+
+// TestDoubtOutlastsItsEvidence guards against a doubt that nothing ends, and against one that ends although another process has answered.
+func TestDoubtOutlastsItsEvidence(t *testing.T) {
+	t.Parallel()
+	found := time.Unix(100, 0)
+	for state, lasts := range map[State]bool{Silent: false, Refuses: false, Replaced: false, Restarted: true} {
+		b := Belief{}.WithState(found, state)
+		assert.True(t, b.Doubted(found.Add(doubtPeriod/2)), state)
+		assert.Equal(t, lasts, b.Doubted(found.Add(2*doubtPeriod)), state)
+		assert.False(t, b.WithRenewal().Doubted(found), state)
+	}
+}
