placement: what is believed of a process outlives its entry

Callers could get events of two software versions in one stream: a replica starts again under its ID, its entry goes, and a stream of it that breaks later went on at the old version. The same held for another process that is found only once the entry is gone, and for the next entry under the ID. Cause: the belief was a part of the listed replica, and went with it. A replica that is listed again keeps its doubt if nothing but the entry's absence has changed; one with another version or address begins without one, and keeps the time in which its version changed.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -60,8 +60,8 @@
 // recordProcess records what was found of the process of a replica. onDoubt is called if its software version is in doubt only since then.
 func (c *Controller) recordProcess(replica placement.Replica, state liveness.State, onDoubt func()) {
 	c.post(func() {
-		listed, exists := c.scheduler.Replica(replica.ID)
-		if !exists || listed.Born != replica.Born {
+		listed, known := c.scheduler.LastListed(replica.ID)
+		if !known || listed.Born != replica.Born {
 			// The entry has been renewed since.
 			return
 		}
--- a/gateway/replicas.go
+++ b/gateway/replicas.go
@@ -139,11 +139,12 @@
 		if c.isOutdated(update, replica.ID) {
 			continue
 		}
-		if exists && old.SoftwareVersion != replica.SoftwareVersion {
-			c.doubtRecentStreams(now, old)
+		last, known := c.scheduler.LastListed(replica.ID)
+		if known && last.SoftwareVersion != replica.SoftwareVersion {
+			c.doubtRecentStreams(now, last)
 		}
 		doubtedSince, restarted := c.renewIfRestarted(replica.ID, update.versions[replica.ID])
-		if restarted && old.SoftwareVersion == replica.SoftwareVersion {
+		if restarted && last.SoftwareVersion == replica.SoftwareVersion {
 			// Its streams are of that version, whichever process they began at.
 			c.returnStreams(replica, doubtedSince)
 		}
@@ -200,7 +201,7 @@
 		c.log.Info("replica-doubtful", zap.String("Replica", replica.ID), zap.Duration("TrustIn", c.replicas.trustFrom.Sub(now)))
 		return
 	}
-	c.scheduler.RemoveReplica(replica.ID)
+	c.scheduler.RemoveReplica(now, replica.ID)
 	c.recordVersionGone(now, replica)
 	c.replicas.versions.recordGone(now, replica.ID)
 	c.log.Info("replica-gone", zap.String("Replica", replica.ID), zap.String("Address", replica.Address), zap.Bool("Leaving", replica.Leaving))
@@ -220,7 +221,7 @@
 		if replica, listed := c.scheduler.Replica(id); listed {
 			c.recordVersionGone(now, replica)
 		}
-		c.scheduler.RemoveReplica(id)
+		c.scheduler.RemoveReplica(now, id)
 		c.replicas.versions.recordGone(now, id)
 		c.log.Info("replica-gone", zap.String("Replica", id), zap.Bool("Doubtful", true))
 	}
--- a/placement/locality_test.go
+++ b/placement/locality_test.go
@@ -36,7 +36,7 @@
 		assert.True(t, decision.Found)
 		assert.Equal(t, "s-north", decision.Replica.ID)
 	}
-	s.RemoveReplica("p-north")
+	s.RemoveReplica(at(0), "p-north")
 	assert.Equal(t, RefuseNoEngine, submit(9).Kind)
 	decision := s.PickService(at(0), ServiceCall{Pool: "services", Avoid: []string{"s-north"}, Regions: limit})
 	assert.False(t, decision.Found)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -105,7 +105,7 @@
 			successor.Pool = otherPool
 			s.SetReplica(successor)
 		}},
-		{name: "removed", disable: func(s *Scheduler) { s.RemoveReplica("d0") }},
+		{name: "removed", disable: func(s *Scheduler) { s.RemoveReplica(at(0), "d0") }},
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -22,6 +22,8 @@
 	replicas map[string]*replica
 	// byAddress holds the listed replicas by address. Addresses are given to other replicas in time.
 	byAddress map[string]map[string]*replica
+	// removed holds the replicas that were removed lately, by ID.
+	removed map[string]*removedReplica
 	// listings counts the replicas that were listed at an address.
 	listings int
 	// declared holds the names of the declared pools.
@@ -59,7 +61,7 @@
 // NewScheduler returns a Scheduler without replicas for a VM in the given availability zone, which keeps to limits and cold.
 // random must return numbers in [0, 1).
 func NewScheduler(zone string, limits *quota.ReplicaLimits, cold *quota.ColdLimits, random func() float64) *Scheduler {
-	return &Scheduler{zone: zone, limits: limits, cold: cold, replicas: map[string]*replica{}, byAddress: map[string]map[string]*replica{}, loaded: map[string]bool{}, unreachable: map[string]bool{}, replaced: map[string]bool{}, told: map[string]bool{}, engineSpecs: map[string]routing.EngineSpec{},
+	return &Scheduler{zone: zone, limits: limits, cold: cold, replicas: map[string]*replica{}, removed: map[string]*removedReplica{}, byAddress: map[string]map[string]*replica{}, loaded: map[string]bool{}, unreachable: map[string]bool{}, replaced: map[string]bool{}, told: map[string]bool{}, engineSpecs: map[string]routing.EngineSpec{},
 		waitEstimators: map[string]*waitEstimator{}, requests: map[uint64]*Request{}, random: random, ownCalls: map[CallClass]int{}, callRates: newCallRates(), peerLoads: map[string]map[string]Load{}, peerUnreachable: map[string][]string{}}
 }
 
@@ -87,6 +89,7 @@
 // SetReplica adds a replica or updates its listed properties. Load and learned statistics are kept unless the
 // address has changed.
 func (s *Scheduler) SetReplica(listed Replica) {
+	process := s.processOf(listed)
 	old := s.replicas[listed.ID]
 	if old == nil || old.Address != listed.Address {
 		s.forgetAddress(old)
@@ -99,11 +102,9 @@
 			s.markReplacedBy(r)
 		}
 	} else {
-		if old.SoftwareVersion != listed.SoftwareVersion {
-			old.process = old.process.WithRenewal()
-		}
 		old.Replica = listed
 	}
+	s.replicas[listed.ID].process = process
 	s.replicas[listed.ID].evacuated = s.evacuated[listed.Zone]
 	s.pools = nil
 }
@@ -140,8 +141,11 @@
 	}
 }
 
-// RemoveReplica removes a replica. Requests in flight at the replica are not affected.
-func (s *Scheduler) RemoveReplica(id string) {
+// RemoveReplica removes a replica at a time. Requests in flight at the replica are not affected.
+func (s *Scheduler) RemoveReplica(now time.Time, id string) {
+	if r := s.replicas[id]; r != nil {
+		s.rememberRemoved(now, r)
+	}
 	s.forgetAddress(s.replicas[id])
 	delete(s.replicas, id)
 	s.pools = nil
@@ -289,8 +293,11 @@
 // counts. It returns since when the process before was in doubt, or zero.
 func (s *Scheduler) Renew(id string) (doubtedSince time.Time) {
 	if r := s.replicas[id]; r != nil {
-		doubtedSince = r.process.DoubtedSince()
-		r.saidLeaving, r.replaced, r.process = false, false, r.process.WithRenewal()
+		r.saidLeaving, r.replaced = false, false
+	}
+	if process := s.process(id); process != nil {
+		doubtedSince = process.DoubtedSince()
+		*process = process.WithRenewal()
 	}
 	return doubtedSince
 }
--- a/placement/versions_test.go
+++ b/placement/versions_test.go
@@ -60,7 +60,7 @@
 	t.Run("versions that are listed", func(t *testing.T) {
 		s := newScheduler()
 		assert.Equal(t, []string{"v1", "v2"}, s.SoftwareVersions(servicePool))
-		s.RemoveReplica("s0")
+		s.RemoveReplica(at(0), "s0")
 		assert.Equal(t, []string{"v2"}, s.SoftwareVersions(servicePool))
 	})
 }
