liveness: the start of the process that was found is compared with entries

A replica whose clock had gone back between two of its processes got no stream back and took none over for 10 s, and since the last commits until a later entry: callers who resumed there were refused. Cause: an entry counted as that of a newer process only by a later start. Change: a check tells with which start the process answers (Finding); an entry that names just that one renews the replica, also when the store has come back from an older copy. An entry with any other earlier start does not. Measured: TestStartThatGoesBackKeepsADoubt failed before. It is stricter now: the check names a start, and late and unknown ones keep the doubt; 4 of 4 cases pass.

--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -31,15 +31,15 @@
 // noteRefusal marks a replica as ended if an error means that connections to it are refused.
 func (s *Server) noteRefusal(replica placement.Replica, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.recordProcess(replica, liveness.Refuses)
+		s.recordProcess(replica, liveness.Finding{State: liveness.Refuses})
 	}
 }
 
 // recordProcess records what was found of the process of a replica. One that did not answer is asked again: the way to it may have been
 // lost only.
-func (s *Server) recordProcess(replica placement.Replica, state liveness.State) {
-	s.control.recordProcess(replica, state, func() {
-		if state == liveness.Silent {
+func (s *Server) recordProcess(replica placement.Replica, found liveness.Finding) {
+	s.control.recordProcess(replica, found, func() {
+		if found.State == liveness.Silent {
 			go s.askSilentReplica(replica)
 		}
 	})
@@ -49,16 +49,16 @@
 func (s *Server) askSilentReplica(replica placement.Replica) {
 	for range maxSilentChecks {
 		time.Sleep(silentCheckInterval)
-		state := s.checkProcess(context.Background(), replica).StateOf(replica.Born)
-		if state != liveness.Silent {
-			s.control.recordProcess(replica, state, func() {})
+		found := s.checkProcess(context.Background(), replica).FindingOf(replica.Born)
+		if found.State != liveness.Silent {
+			s.control.recordProcess(replica, found, func() {})
 			return
 		}
 	}
 }
 
 // recordProcess records what was found of the process of a replica. onDoubt is called if its software version is in doubt only since then.
-func (c *Controller) recordProcess(replica placement.Replica, state liveness.State, onDoubt func()) {
+func (c *Controller) recordProcess(replica placement.Replica, found liveness.Finding, onDoubt func()) {
 	c.post(func() {
 		listed, known := c.scheduler.LastListed(replica.ID)
 		if !known || listed.Born != replica.Born {
@@ -66,15 +66,15 @@
 			return
 		}
 		now := c.now()
-		before, after := c.scheduler.RecordProcess(now, replica.ID, state)
-		switch state {
+		before, after := c.scheduler.RecordProcess(now, replica.ID, found)
+		switch found.State {
 		case liveness.Lives:
 			c.returnStreams(listed, before.DoubtedSince())
 		case liveness.Restarted:
 			c.reassignStreams(now, replica, after.DoubtedSince())
 		}
 		if after.Doubted(now) && !before.Doubted(now) {
-			c.log.Info("replica-ended", zap.String("Replica", replica.ID), zap.String("Process", string(state)), zap.String("Address", replica.Address), zap.String("SoftwareVersion", replica.SoftwareVersion))
+			c.log.Info("replica-ended", zap.String("Replica", replica.ID), zap.String("Process", string(found.State)), zap.String("Address", replica.Address), zap.String("SoftwareVersion", replica.SoftwareVersion))
 			onDoubt()
 		}
 	})
@@ -134,15 +134,15 @@
 		patience, cancel = context.WithTimeout(ctx, silencePatience)
 		defer cancel()
 	}
-	state := s.awaitProcess(patience, to).StateOf(to.Born)
+	found := s.awaitProcess(patience, to).FindingOf(to.Born)
 	switch {
-	case state.ConfirmsEnd():
+	case found.State.ConfirmsEnd():
 		return nil
 	case ctx.Err() != nil:
 		// The caller has left before the check was over.
 		return context.Cause(ctx)
 	}
-	s.log.Info("version-not-confirmed", zap.String("Request", r.info.Attempt), zap.String("Replica", to.ID), zap.String("Process", string(state)), zap.String("SoftwareVersion", to.SoftwareVersion))
-	s.recordProcess(to, state)
+	s.log.Info("version-not-confirmed", zap.String("Request", r.info.Attempt), zap.String("Replica", to.ID), zap.String("Process", string(found.State)), zap.String("SoftwareVersion", to.SoftwareVersion))
+	s.recordProcess(to, found)
 	return errVersionUnconfirmed
 }
--- a/gateway/ended_replicas.go
+++ b/gateway/ended_replicas.go
@@ -57,11 +57,11 @@
 func (s *Server) recordBroken(r *request, replica placement.Replica, lasted bool) {
 	parts := r.parts()
 	answer := s.checkProcess(context.Background(), replica)
-	state := answer.StateOf(replica.Born)
-	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.String("Process", string(state)),
+	found := answer.FindingOf(replica.Born)
+	s.log.Info("run-broken", zap.String("Request", r.info.Attempt), zap.String("Replica", replica.ID), zap.String("Process", string(found.State)),
 		zap.Int64("KnownBorn", replica.Born), zap.Int64("Born", answer.Born), zap.Bool("Lasted", lasted), zap.Strings("Parts", parts))
-	s.recordProcess(replica, state)
-	if state.Ended() && !lasted {
+	s.recordProcess(replica, found)
+	if found.State.Ended() && !lasted {
 		s.control.recordEnd(parts, replica)
 	}
 }
--- a/gateway/entry_versions.go
+++ b/gateway/entry_versions.go
@@ -74,7 +74,7 @@
 // isOutdated reports and logs whether an entry of a restored list is older than what this VM has read of the replica.
 func (c *Controller) isOutdated(update ReplicaUpdate, id string) bool {
 	version := update.versions[id]
-	if !update.Restored || !c.replicas.versions.outdated(id, version) {
+	if !update.Restored || !c.replicas.versions.outdated(id, version) || c.scheduler.ConfirmsStart(id, version.Born) {
 		return false
 	}
 	known := c.replicas.versions.newest[id]
--- a/gateway/leaving_answers.go
+++ b/gateway/leaving_answers.go
@@ -22,11 +22,11 @@
 	})
 }
 
-// renewIfRestarted reports whether an entry is of a process that started later than the one that is known. If so, a replica that
-// was replaced at its address, or said that it was leaving, is usable again.
+// renewIfRestarted reports whether an entry is of a process that started later than the one that is known, or that has been found to answer
+// in its place. If so, a replica that was replaced at its address, or said that it was leaving, is usable again.
 func (c *Controller) renewIfRestarted(id string, version EntryVersion) (doubtedSince time.Time, restarted bool) {
 	known, exists := c.replicas.versions.newest[id]
-	if !exists || version.Born <= known.Born {
+	if !exists || version.Born <= known.Born && !c.scheduler.ConfirmsStart(id, version.Born) {
 		return time.Time{}, false
 	}
 	doubtedSince = c.scheduler.Renew(id)
--- a/gateway/process_evidence_test.go
+++ b/gateway/process_evidence_test.go
@@ -93,7 +93,7 @@
 	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: "127.0.0.1:1"}
 	now := time.Now()
 	s.control.applyReplicas(now, ReplicaUpdate{Next: 1, Listed: []placement.Replica{replica}, versions: map[string]EntryVersion{"r": {Born: 7}}})
-	s.control.scheduler.RecordProcess(now, "r", liveness.Restarted)
+	s.control.scheduler.RecordProcess(now, "r", liveness.Finding{State: liveness.Restarted})
 	later := now.Add(20 * time.Second)
 	assert.True(t, s.control.scheduler.VersionDoubted(later, "r", later), "the entry has not been renewed")
 }
@@ -104,7 +104,7 @@
 	s := newCheckingServer(t)
 	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: startReporter(t, func(net.Listener) {}, say(400, "", NativeHeaders.NotRun+": 1\r\n"))}
 	runControl(t, s, replica)
-	s.recordProcess(replica, liveness.Silent)
+	s.recordProcess(replica, liveness.Finding{State: liveness.Silent})
 	require.True(t, s.control.isVersionDoubted("r", time.Now().Add(time.Minute)))
 	assert.Eventually(t, func() bool { return !s.control.isVersionDoubted("r", time.Now().Add(time.Minute)) }, 3*time.Second, 50*time.Millisecond)
 }
@@ -116,7 +116,7 @@
 	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: "127.0.0.1:1"}
 	runControl(t, s, replica)
 	began := time.Now()
-	s.recordProcess(replica, liveness.Restarted)
+	s.recordProcess(replica, liveness.Finding{State: liveness.Restarted})
 	require.True(t, s.control.isVersionDoubted("r", began))
 	s.control.ApplyReplicas(ReplicaUpdate{Next: 2, Removed: []string{"r"}})
 	assert.True(t, s.control.isVersionDoubted("r", began))
@@ -128,23 +128,38 @@
 	s := newCheckingServer(t)
 	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: startReporter(t, func(net.Listener) {}, say(200, "born 7"))}
 	runControl(t, s, replica)
-	s.recordProcess(replica, liveness.Silent)
+	s.recordProcess(replica, liveness.Finding{State: liveness.Silent})
 	s.control.recordStreams([]string{"a"}, replica)
 	require.Eventually(t, func() bool { return !s.control.isVersionDoubted("r", time.Now().Add(time.Minute)) }, 3*time.Second, 50*time.Millisecond)
 	assert.Equal(t, "v1", s.control.streamOrigin(t.Context(), "a", "p").Version, "the process of the entry has been found to live since")
 }
 
-// TestStartThatGoesBackKeepsADoubt guards against a process whose clock is behind that of the one before, and that stays in doubt though its entry names it.
+// TestStartThatGoesBackKeepsADoubt guards against a process whose clock is behind that of the one before, and that stays in doubt though its entry names it,
+// and against a late entry of a process before that one, which ends the doubt.
 func TestStartThatGoesBackKeepsADoubt(t *testing.T) {
 	t.Parallel()
-	s := newCheckingServer(t)
-	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: "127.0.0.1:1"}
-	runControl(t, s, replica)
-	s.recordProcess(replica, liveness.Restarted)
-	renewed := replica
-	renewed.Born = 5
-	s.control.ApplyReplicas(ReplicaUpdate{Next: 2, Listed: []placement.Replica{renewed}, versions: map[string]EntryVersion{"r": {Born: 5}}})
-	assert.False(t, s.control.isVersionDoubted("r", time.Now().Add(time.Minute)))
+	for name, c := range map[string]struct {
+		found, listed int64
+		restored      bool
+		doubted       bool
+	}{
+		"its entry":                              {5, 5, false, false},
+		"its entry, when the store is restored":  {5, 5, true, false},
+		"a late entry of an older process":       {8, 5, false, true},
+		"an entry, of a start that is not known": {0, 5, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCheckingServer(t)
+			replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: "127.0.0.1:1"}
+			runControl(t, s, replica)
+			s.recordProcess(replica, liveness.Finding{State: liveness.Restarted, Born: c.found})
+			renewed := replica
+			renewed.Born = c.listed
+			s.control.ApplyReplicas(ReplicaUpdate{Next: 2, Restored: c.restored, Listed: []placement.Replica{renewed}, versions: map[string]EntryVersion{"r": {Born: c.listed}}})
+			assert.Equal(t, c.doubted, s.control.isVersionDoubted("r", time.Now().Add(time.Minute)))
+		})
+	}
 }
 
 // TestOtherConnectionTellsOfAnAnswer guards against an answer of a process that has taken over the address, and counts as that of the one before, which lives on for its kept connections.
--- a/gateway/removed_replica_test.go
+++ b/gateway/removed_replica_test.go
@@ -28,12 +28,20 @@
 		doubted bool
 		origin  string
 	}{
-		"another process is found after the entry is gone": {func(s *Server) { remove(s); s.recordProcess(replica, liveness.Restarted) }, true, resumption.DoubtedVersion},
-		"the same entry is back":                           {func(s *Server) { s.recordProcess(replica, liveness.Restarted); remove(s); list(s, 7, "v1") }, true, resumption.DoubtedVersion},
-		"the next process has another version":             {func(s *Server) { remove(s); list(s, 8, "v2") }, true, resumption.DoubtedVersion},
-		"the next process has the same version":            {func(s *Server) { s.recordProcess(replica, liveness.Restarted); remove(s); list(s, 8, "v1") }, false, "v1"},
-		"nothing is found":                                 {remove, false, "v1"},
-		"the process refuses after the entry is gone":      {func(s *Server) { remove(s); s.recordProcess(replica, liveness.Refuses) }, false, "v1"},
+		"another process is found after the entry is gone": {func(s *Server) { remove(s); s.recordProcess(replica, liveness.Finding{State: liveness.Restarted}) }, true, resumption.DoubtedVersion},
+		"the same entry is back": {func(s *Server) {
+			s.recordProcess(replica, liveness.Finding{State: liveness.Restarted})
+			remove(s)
+			list(s, 7, "v1")
+		}, true, resumption.DoubtedVersion},
+		"the next process has another version": {func(s *Server) { remove(s); list(s, 8, "v2") }, true, resumption.DoubtedVersion},
+		"the next process has the same version": {func(s *Server) {
+			s.recordProcess(replica, liveness.Finding{State: liveness.Restarted})
+			remove(s)
+			list(s, 8, "v1")
+		}, false, "v1"},
+		"nothing is found": {remove, false, "v1"},
+		"the process refuses after the entry is gone": {func(s *Server) { remove(s); s.recordProcess(replica, liveness.Finding{State: liveness.Refuses}) }, false, "v1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/gateway/renewed_replica_test.go
+++ b/gateway/renewed_replica_test.go
@@ -22,7 +22,7 @@
 			replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, Stage: placement.StageDecode, SoftwareVersion: "v1", Address: "127.0.0.1:1"}
 			runControl(t, s, replica)
 			s.control.recordStreams([]string{"a"}, replica)
-			s.recordProcess(replica, liveness.Restarted)
+			s.recordProcess(replica, liveness.Finding{State: liveness.Restarted})
 			assert.Equal(t, resumption.DoubtedVersion, s.control.streamOrigin(t.Context(), "a", "p").Version)
 			renewed := replica
 			renewed.Born, renewed.SoftwareVersion = 8, version
--- a/gateway/unread_entries.go
+++ b/gateway/unread_entries.go
@@ -30,7 +30,7 @@
 	if !c.entriesUnread(now) || !tellsOfProcess(replica) {
 		return
 	}
-	c.scheduler.RecordProcess(now.Add(-time.Nanosecond), replica.ID, liveness.Silent)
+	c.scheduler.RecordProcess(now.Add(-time.Nanosecond), replica.ID, liveness.Finding{State: liveness.Silent})
 	c.checkReplica(replica)
 }
 
@@ -46,7 +46,7 @@
 		if !listed || !tellsOfProcess(replica) {
 			continue
 		}
-		if before, _ := c.scheduler.RecordProcess(since, id, liveness.Silent); before.Doubted(since) {
+		if before, _ := c.scheduler.RecordProcess(since, id, liveness.Finding{State: liveness.Silent}); before.Doubted(since) {
 			continue
 		}
 		streams := c.reassignStreams(now, replica, since)
@@ -62,5 +62,7 @@
 
 // checkDoubted asks a replica for its process and records what it finds.
 func (s *Server) checkDoubted(replica placement.Replica) {
-	go func() { s.recordProcess(replica, s.checkProcess(context.Background(), replica).StateOf(replica.Born)) }()
+	go func() {
+		s.recordProcess(replica, s.checkProcess(context.Background(), replica).FindingOf(replica.Born))
+	}()
 }
--- a/liveness/belief.go
+++ b/liveness/belief.go
@@ -15,14 +15,16 @@
 	// since is since when another process may answer, or zero, and evidence is the state that says so.
 	since    time.Time
 	evidence State
+	// restarted is the start of the process whose answer is the evidence, in Unix milliseconds by its own clock, or 0.
+	restarted int64
 	// changedFrom and changedUntil are since when another software version than the listed one may have answered, and until when, the last
 	// time that the version changed. They are zero if it has not.
 	changedFrom, changedUntil time.Time
 }
 
-// WithState returns the Belief after a state of the process was found at a time.
-func (b Belief) WithState(now time.Time, state State) Belief {
-	switch state {
+// WithFinding returns the Belief after a check has found something of the process at a time.
+func (b Belief) WithFinding(now time.Time, found Finding) Belief {
+	switch found.State {
 	case Lives:
 		return b.WithRenewal()
 	case Unnamed:
@@ -38,17 +40,18 @@
 			b.since = now
 		}
 		if b.evidence != Restarted {
-			b.evidence = state
+			b.evidence = found.State
 		}
 	case Restarted:
 		b.since, b.evidence = b.restartedSince(now), Restarted
+		b.restarted = found.Born
 	}
 	return b
 }
 
 // WithRenewal returns the Belief after the process of the newest entry has been found to answer.
 func (b Belief) WithRenewal() Belief {
-	b.since, b.evidence = time.Time{}, ""
+	b.since, b.evidence, b.restarted = time.Time{}, "", 0
 	return b
 }
 
@@ -67,6 +70,10 @@
 	return since
 }
 
+// Confirms reports whether an entry of a process that started at a time is of the one that was found to have started again. Clocks may go
+// back between two processes, so that the later one is not the one with the later start.
+func (b Belief) Confirms(born int64) bool { return b.restarted != 0 && b.restarted == born }
+
 // DoubtedSince returns since when another process than the listed one may answer, or zero.
 func (b Belief) DoubtedSince() time.Time { return b.since }
 
--- a/liveness/belief_test.go
+++ b/liveness/belief_test.go
@@ -35,7 +35,7 @@
 			t.Parallel()
 			var b Belief
 			for _, state := range c.states {
-				b = b.WithState(found, state)
+				b = b.WithFinding(found, Finding{State: state})
 			}
 			for began, doubted := range c.doubted {
 				assert.Equal(t, doubted, b.DoubtedAt(found.Add(2*tick), found.Add(began)), "an answer that began %v later", began)
@@ -49,7 +49,7 @@
 	t.Parallel()
 	found := time.Unix(100, 0)
 	for state, lasts := range map[State]bool{Silent: false, Refuses: false, Replaced: false, Restarted: true} {
-		b := Belief{}.WithState(found, state)
+		b := Belief{}.WithFinding(found, Finding{State: state})
 		assert.True(t, b.Doubted(found.Add(doubtPeriod/2)), state)
 		assert.Equal(t, lasts, b.Doubted(found.Add(2*doubtPeriod)), state)
 		assert.False(t, b.WithRenewal().Doubted(found), state)
--- a/liveness/state.go
+++ b/liveness/state.go
@@ -45,6 +45,16 @@
 	Err  error
 }
 
+// Finding is what a check has found of the process of a replica.
+type Finding struct {
+	State State
+	// Born is when the process that answered started, in Unix milliseconds by its own clock, or 0 if that is not known.
+	Born int64
+}
+
+// FindingOf returns what an answer tells of the process of a replica that the list said to be born at a time, in Unix milliseconds, or 0.
+func (a Answer) FindingOf(born int64) Finding { return Finding{State: a.StateOf(born), Born: a.Born} }
+
 // StateOf returns the state of the process of a replica that the list said to be born at a time, in Unix milliseconds, or 0.
 func (a Answer) StateOf(born int64) State {
 	switch {
--- a/placement/doubted_versions_test.go
+++ b/placement/doubted_versions_test.go
@@ -30,23 +30,23 @@
 		// usable is whether requests that are held to the version are placed there.
 		usable bool
 	}{
-		"ended":     {func(s *Scheduler) { s.RecordProcess(at(found), "d0", liveness.Refuses) }, map[time.Duration]bool{found - tick: false, found + tick: true}, false},
-		"restarted": {func(s *Scheduler) { s.RecordProcess(at(found), "d0", liveness.Restarted) }, map[time.Duration]bool{found - period - tick: false, found - period + tick: true, found: true}, false},
+		"ended":     {func(s *Scheduler) { s.RecordProcess(at(found), "d0", liveness.Finding{State: liveness.Refuses}) }, map[time.Duration]bool{found - tick: false, found + tick: true}, false},
+		"restarted": {func(s *Scheduler) { s.RecordProcess(at(found), "d0", liveness.Finding{State: liveness.Restarted}) }, map[time.Duration]bool{found - period - tick: false, found - period + tick: true, found: true}, false},
 		"ended, then restarted": {func(s *Scheduler) {
-			s.RecordProcess(at(found-tick), "d0", liveness.Refuses)
-			s.RecordProcess(at(found), "d0", liveness.Restarted)
+			s.RecordProcess(at(found-tick), "d0", liveness.Finding{State: liveness.Refuses})
+			s.RecordProcess(at(found), "d0", liveness.Finding{State: liveness.Restarted})
 		}, map[time.Duration]bool{found - period - tick: false, found - period + tick: true}, false},
 		"silent, then living": {func(s *Scheduler) {
-			s.RecordProcess(at(found-tick), "d0", liveness.Refuses)
-			s.RecordProcess(at(found), "d0", liveness.Lives)
+			s.RecordProcess(at(found-tick), "d0", liveness.Finding{State: liveness.Refuses})
+			s.RecordProcess(at(found), "d0", liveness.Finding{State: liveness.Lives})
 		}, map[time.Duration]bool{found - tick: false, found: false}, true},
 		"renewed with another version": {func(s *Scheduler) { renew(s, "v2", found) }, map[time.Duration]bool{found - period - tick: false, found - period: true, found - tick: true, found: false}, true},
 		"ended long before it is renewed with another version": {func(s *Scheduler) {
-			s.RecordProcess(at(found-2*period), "d0", liveness.Refuses)
+			s.RecordProcess(at(found-2*period), "d0", liveness.Finding{State: liveness.Refuses})
 			renew(s, "v2", found)
 		}, map[time.Duration]bool{found - 2*period - tick: false, found - 2*period: true, found: false}, true},
 		"renewed with the same version": {func(s *Scheduler) {
-			s.RecordProcess(at(found), "d0", liveness.Restarted)
+			s.RecordProcess(at(found), "d0", liveness.Finding{State: liveness.Restarted})
 			renew(s, "", found)
 		}, map[time.Duration]bool{found - tick: false, found: false}, true},
 	} {
--- a/placement/version_doubts.go
+++ b/placement/version_doubts.go
@@ -47,16 +47,22 @@
 
 // RecordProcess records what was found at a time of the process of a replica, and returns what was believed of it before and is now. Both
 // are zero if the replica has not been listed lately.
-func (s *Scheduler) RecordProcess(now time.Time, id string, state liveness.State) (before, after liveness.Belief) {
+func (s *Scheduler) RecordProcess(now time.Time, id string, found liveness.Finding) (before, after liveness.Belief) {
 	process := s.process(id)
 	if process == nil {
 		return before, after
 	}
 	before = *process
-	*process = before.WithState(now, state)
+	*process = before.WithFinding(now, found)
 	return before, *process
 }
 
+// ConfirmsStart reports whether a process that started at a time has been found to answer for a replica in place of the listed one.
+func (s *Scheduler) ConfirmsStart(id string, born int64) bool {
+	process := s.process(id)
+	return process != nil && process.Confirms(born)
+}
+
 // MarkVersionChanged records that the entry of a replica, which is about to be renewed, names another software version. It returns since
 // when that version may have answered.
 func (s *Scheduler) MarkVersionChanged(now time.Time, id string) (since time.Time) {
