gateway: answers of a process that was found before they were asked for are whole

Callers lost sound answers without framing for as long as the entry of a replica that had started again under its ID named the process before. Cause: each such answer was compared with the listed start only, so that every answer of the new process looked like one that its process had not lived to end, also when a check had long found that process. Change: a check remembers with which start, and when, another process answered. An answer on a connection that was opened after that, and whose end the same process confirms, is that process's own and whole. One on an older connection may be of the process before, and is given up as before. exchange tells the confirmation when the connection was opened.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -60,9 +60,10 @@
 	History *History
 	// OnRead is called with the number of bytes whenever a part of the response body has been read. It may be nil.
 	OnRead func(bytes int)
-	// ConfirmEnd is called once when a body that only its connection ends has ended in an orderly way. An error means that the body is
-	// truncated. If it is nil, the body is truncated if the upstream refuses connections after that.
-	ConfirmEnd func(ctx context.Context) error
+	// ConfirmEnd is called once when a body that only its connection ends has ended in an orderly way, with a time after which the
+	// connection was opened. An error means that the body is truncated. If it is nil, the body is truncated if the upstream refuses
+	// connections after that.
+	ConfirmEnd func(ctx context.Context, openedAt time.Time) error
 	// AcceptResponse reports whether a response with this header belongs to the request. Nil accepts every response.
 	AcceptResponse func(http.Header) bool
 }
@@ -194,11 +195,12 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
+	openedAt := c.now()
 	raw, err := c.observedDial(dialCtx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, openedAt), nil
 }
 
 // Do sends a request once and returns its response as soon as the headers are read. When ctx is done, also while
@@ -235,16 +237,16 @@
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength,
 		Framing: framingOf(httpResp),
 		body:    httpResp.Body, onRead: r.OnRead, conn: connection, client: c, addr: addr, stop: stop, write: write,
-		cause: func(err error) error { return cause(ctx, err) }, confirmEnd: func() error { return c.confirmEnd(ctx, addr, r) }}
+		cause: func(err error) error { return cause(ctx, err) }, confirmEnd: func() error { return c.confirmEnd(ctx, addr, connection.openedAt, r) }}
 	resp.keepAlive = !httpResp.Close && connection.applyKeepAlive(c.now(), httpResp.Header)
 	return resp, nil
 }
 
 // confirmEnd returns an error if a body without framing that has ended in an orderly way is truncated.
-func (c *Client) confirmEnd(ctx context.Context, addr string, r Request) error {
+func (c *Client) confirmEnd(ctx context.Context, addr string, openedAt time.Time, r Request) error {
 	switch {
 	case r.ConfirmEnd != nil:
-		return r.ConfirmEnd(ctx)
+		return r.ConfirmEnd(ctx, openedAt)
 	case transport.HasEnded(ctx, c.observedDial, addr):
 		return io.ErrUnexpectedEOF
 	}
--- a/exchange/confirmed_ends_test.go
+++ b/exchange/confirmed_ends_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -34,7 +35,9 @@
 				_, _ = io.WriteString(conn, s.response)
 			})
 			var calls atomic.Int32
-			resp, err := newClient(t).Do(context.Background(), addr, Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ConfirmEnd: func(context.Context) error {
+			began := time.Now()
+			resp, err := newClient(t).Do(context.Background(), addr, Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ConfirmEnd: func(_ context.Context, openedAt time.Time) error {
+				assert.WithinRange(t, openedAt, began, time.Now())
 				calls.Add(1)
 				return s.confirm
 			}})
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -32,11 +32,13 @@
 	// usableUntil is the time after which the idle connection is not reused, because the upstream may close it.
 	usableUntil time.Time
 	idleSince   time.Time
+	// openedAt is a time after which the connection was opened.
+	openedAt time.Time
 }
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, openedAt time.Time) *conn {
 	limit := &limitedReader{src: raw, remaining: noLimit}
-	return &conn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	return &conn{Conn: raw, openedAt: openedAt, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // noLimit is the value of limitedReader.remaining for an unlimited reader.
--- a/gateway/doubted_versions.go
+++ b/gateway/doubted_versions.go
@@ -95,6 +95,13 @@
 	return ask(c, func() bool { return c.scheduler.VersionDoubted(c.now(), id, answerBeganAt) })
 }
 
+// hasAnswered reports whether a process which is not the listed one had answered for a replica before a connection was opened, so that the
+// answer on it is of that process. It waits until ctx is done at most.
+func (c *Controller) hasAnswered(ctx context.Context, replica placement.Replica, born int64, openedAt time.Time) bool {
+	answered, ok := askUntilDone(ctx, c, func() bool { return c.scheduler.HasAnswered(replica.ID, born, openedAt) })
+	return ok && answered
+}
+
 // doubtRecentStreams records that the entry of a replica names another software version: the streams that have begun there lately may be of
 // either.
 func (c *Controller) doubtRecentStreams(now time.Time, old placement.Replica) {
--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -71,7 +71,7 @@
 func (s *Server) tryToAskForProcess(ctx context.Context, replica placement.Replica) liveness.Answer {
 	method, target, header := s.protocol.ProcessRequest(replica.ID)
 	resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: method, Target: target, Host: replica.Address, Header: header,
-		ConfirmEnd: func(context.Context) error { return nil },
+		ConfirmEnd: func(context.Context, time.Time) error { return nil },
 		// A kept connection may bring a late copy of the answer to a request before.
 		AcceptResponse: func(h http.Header) bool { return s.protocol.ReadResponseInfo(http.StatusOK, h).Attempt == "" }})
 	if err != nil {
@@ -85,7 +85,7 @@
 		answer.Err = err
 		return answer
 	}
-	answer.Born = s.protocol.ParseProcess(body)
+	answer.Born, answer.At = s.protocol.ParseProcess(body), s.control.now()
 	return answer
 }
 
@@ -102,24 +102,30 @@
 // endConfirmation returns the function that confirms the end of an answer without framing, or nil if replicas do not tell of their
 // processes. The kernel ends the connections of a killed process in an orderly way, and where connections are accepted after that, by its
 // successor or by a proxy, the address tells nothing. A replica that is silent is asked for as long as the caller can wait.
-func (s *Server) endConfirmation(r *request, from placement.Replica) func(context.Context) error {
+func (s *Server) endConfirmation(r *request, from placement.Replica) func(context.Context, time.Time) error {
 	if s.protocol.ProcessRequest == nil {
 		return nil
 	}
-	return func(ctx context.Context) error {
-		beganAt := s.control.now()
-		answer := s.awaitProcess(ctx, from)
-		state := answer.StateOf(from.Born)
-		if state == liveness.Unnamed && s.control.namesProcesses(from) && s.control.stoodStillSince(r.answer.startedAt) {
-			// The process that answered may have started after the end that is read only now.
-			state = s.control.awaitEntry(ctx, from)
-		}
-		s.metrics.ConfirmedEnds.WithLabelValues(string(state)).Inc()
-		s.log.Info("unframed-end-checked", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("Process", string(state)),
-			zap.Int64("KnownBorn", from.Born), zap.Int64("Born", answer.Born), zap.Int("Status", answer.Status), zap.Duration("Took", s.control.now().Sub(beganAt)), zap.Error(answer.Err))
-		if state.ConfirmsEnd() {
-			return nil
-		}
-		return fmt.Errorf("the process that was asked is not there any more: %s", state)
+	return func(ctx context.Context, openedAt time.Time) error { return s.confirmEnd(ctx, r, from, openedAt) }
+}
+
+// confirmEnd is the function that endConfirmation returns, for an answer on a connection that was opened after a time.
+func (s *Server) confirmEnd(ctx context.Context, r *request, from placement.Replica, openedAt time.Time) error {
+	beganAt := s.control.now()
+	answer := s.awaitProcess(ctx, from)
+	found := answer.FindingOf(from.Born)
+	state := found.State
+	if state == liveness.Unnamed && s.control.namesProcesses(from) && s.control.stoodStillSince(r.answer.startedAt) {
+		// The process that answered may have started after the end that is read only now.
+		state = s.control.awaitEntry(ctx, from)
+	}
+	whole := state.ConfirmsEnd() || state == liveness.Restarted && s.control.hasAnswered(ctx, from, found.Born, openedAt)
+	s.metrics.ConfirmedEnds.WithLabelValues(string(state)).Inc()
+	s.log.Info("unframed-end-checked", zap.String("Request", r.info.Attempt), zap.String("Replica", from.ID), zap.String("Process", string(state)), zap.Bool("Whole", whole),
+		zap.Int64("KnownBorn", from.Born), zap.Int64("Born", answer.Born), zap.Int("Status", answer.Status), zap.Duration("Took", s.control.now().Sub(beganAt)), zap.Error(answer.Err))
+	if whole {
+		return nil
 	}
+	s.recordProcess(from, found)
+	return fmt.Errorf("the process that was asked is not there any more: %s", state)
 }
--- a/gateway/process_checks_test.go
+++ b/gateway/process_checks_test.go
@@ -73,11 +73,12 @@
 	}
 }
 
-// readConfirmed reads an answer of a replica to its end, which is confirmed for a request, and returns the error of that.
+// readConfirmed reads an answer of a replica to its end, which is confirmed for a request, and returns the error of that. It opens a
+// connection: startReporter closes each after one answer, also those that a client may keep.
 func readConfirmed(ctx context.Context, t *testing.T, s *Server, r *request, replica placement.Replica) error {
 	t.Helper()
 	resp, err := s.upstreams.Do(ctx, replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-		ConfirmEnd: s.endConfirmation(r, replica)})
+		MaxIdle: -1, ConfirmEnd: s.endConfirmation(r, replica)})
 	require.NoError(t, err)
 	defer resp.Close()
 	_, err = resp.ReadAll(1 << 10)
@@ -117,6 +118,7 @@
 			t.Parallel()
 			server := newCheckingServer(t)
 			replica := placement.Replica{ID: "r", Address: startReporter(t, s.onAnswer, s.report), Born: s.known}
+			runControl(t, server, replica)
 			wait := 3 * time.Second
 			if s.waits {
 				wait = time.Second
--- a/gateway/process_evidence_test.go
+++ b/gateway/process_evidence_test.go
@@ -86,6 +86,22 @@
 	assert.LessOrEqual(t, cut, 1, "the first check names the process, later answers are its own")
 }
 
+// TestAnswerOnAnOlderConnectionIsWhole guards against the cut answer of a process that has ended, which is whole since the next one was found before the
+// answer ended: its connection was opened earlier than that.
+func TestAnswerOnAnOlderConnectionIsWhole(t *testing.T) {
+	t.Parallel()
+	s := newCheckingServer(t)
+	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, SoftwareVersion: "v1", Address: startReporter(t, func(net.Listener) {}, say(200, "born 8"))}
+	runControl(t, s, replica)
+	resp, err := s.upstreams.Do(t.Context(), replica.Address, exchange.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ConfirmEnd: s.endConfirmation(&request{}, replica)})
+	require.NoError(t, err)
+	defer resp.Close()
+	s.recordProcess(replica, s.checkProcess(t.Context(), replica).FindingOf(replica.Born))
+	_, err = resp.ReadAll(1 << 10)
+	assert.Error(t, err)
+	assert.NoError(t, readConfirmed(t.Context(), t, s, &request{}, replica), "an answer on a later connection")
+}
+
 // TestFoundRestartIsForgotten guards against a process that was found to have started again, and that counts as of the version of its old entry once a time has passed.
 func TestFoundRestartIsForgotten(t *testing.T) {
 	t.Parallel()
--- a/liveness/belief.go
+++ b/liveness/belief.go
@@ -15,8 +15,10 @@
 	// since is since when another process may answer, or zero, and evidence is the state that says so.
 	since    time.Time
 	evidence State
-	// restarted is the start of the process whose answer is the evidence, in Unix milliseconds by its own clock, or 0.
-	restarted int64
+	// restarted is the start of the other process that was found last, in Unix milliseconds by its own clock, or 0, and restartedAt when it
+	// answered for the first time.
+	restarted   int64
+	restartedAt time.Time
 	// changedFrom and changedUntil are since when another software version than the listed one may have answered, and until when, the last
 	// time that the version changed. They are zero if it has not.
 	changedFrom, changedUntil time.Time
@@ -26,6 +28,7 @@
 func (b Belief) WithFinding(now time.Time, found Finding) Belief {
 	switch found.State {
 	case Lives:
+		b.restarted, b.restartedAt = 0, time.Time{}
 		return b.WithRenewal()
 	case Unnamed:
 		if b.evidence == Silent {
@@ -44,14 +47,16 @@
 		}
 	case Restarted:
 		b.since, b.evidence = b.restartedSince(now), Restarted
-		b.restarted = found.Born
+		if b.restarted != found.Born {
+			b.restarted, b.restartedAt = found.Born, found.At
+		}
 	}
 	return b
 }
 
 // WithRenewal returns the Belief after the process of the newest entry has been found to answer.
 func (b Belief) WithRenewal() Belief {
-	b.since, b.evidence, b.restarted = time.Time{}, "", 0
+	b.since, b.evidence = time.Time{}, ""
 	return b
 }
 
@@ -74,6 +79,11 @@
 // back between two processes, so that the later one is not the one with the later start.
 func (b Belief) Confirms(born int64) bool { return b.restarted != 0 && b.restarted == born }
 
+// HasAnswered reports whether another process than the listed one, which started at a time, was found to answer before a moment.
+func (b Belief) HasAnswered(born int64, before time.Time) bool {
+	return b.Confirms(born) && !b.restartedAt.IsZero() && b.restartedAt.Before(before)
+}
+
 // DoubtedSince returns since when another process than the listed one may answer, or zero.
 func (b Belief) DoubtedSince() time.Time { return b.since }
 
--- a/liveness/state.go
+++ b/liveness/state.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"syscall"
+	"time"
 )
 
 // State is what is found of the process of a replica.
@@ -42,18 +43,24 @@
 	NotRun, Misdirected bool
 	// Born is when the process that answered started, in Unix milliseconds by its own clock, or 0 if it does not say.
 	Born int64
-	Err  error
+	// At is when the answer was complete.
+	At  time.Time
+	Err error
 }
 
 // Finding is what a check has found of the process of a replica.
 type Finding struct {
 	State State
-	// Born is when the process that answered started, in Unix milliseconds by its own clock, or 0 if that is not known.
+	// Born is when the process that answered started, in Unix milliseconds by its own clock, or 0 if that is not known, and At when its
+	// answer was complete.
 	Born int64
+	At   time.Time
 }
 
 // FindingOf returns what an answer tells of the process of a replica that the list said to be born at a time, in Unix milliseconds, or 0.
-func (a Answer) FindingOf(born int64) Finding { return Finding{State: a.StateOf(born), Born: a.Born} }
+func (a Answer) FindingOf(born int64) Finding {
+	return Finding{State: a.StateOf(born), Born: a.Born, At: a.At}
+}
 
 // StateOf returns the state of the process of a replica that the list said to be born at a time, in Unix milliseconds, or 0.
 func (a Answer) StateOf(born int64) State {
--- a/placement/version_doubts.go
+++ b/placement/version_doubts.go
@@ -63,6 +63,12 @@
 	return process != nil && process.Confirms(born)
 }
 
+// HasAnswered reports whether another process than the listed one, which started at a time, was found to answer for a replica before a moment.
+func (s *Scheduler) HasAnswered(id string, born int64, before time.Time) bool {
+	process := s.process(id)
+	return process != nil && process.HasAnswered(born, before)
+}
+
 // MarkVersionChanged records that the entry of a replica, which is about to be renewed, names another software version. It returns since
 // when that version may have answered.
 func (s *Scheduler) MarkVersionChanged(now time.Time, id string) (since time.Time) {
