--- a/liveness/watch.go
+++ b/liveness/watch.go
@@ -1,4 +1,5 @@
-// Package liveness tells whether a process of a replica lives, by what it answers when it is asked and by the entries that it writes.
+// Package liveness tells whether a process of a replica lives, by what it answers when it is asked and by the entries that it writes, and
+// keeps what is believed of it since when.
 //
 // The ID and the address of a replica outlive its process, and an answer that names no start may be that of the next process under the same
 // ID. The entries name the start, and their sequence numbers rise as long as the process lives. The package performs no I/O.
