--- a/gateway/process_checks.go
+++ b/gateway/process_checks.go
@@ -127,5 +127,5 @@
 		return nil
 	}
 	s.recordProcess(from, found)
-	return fmt.Errorf("the process that was asked is not there any more: %s", state)
+	return fmt.Errorf("the end of the answer is not confirmed, the process: %s", state)
 }
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -109,8 +109,8 @@
 	// replaced reports that another replica answers at the address. It stays set until this replica is listed with
 	// another address or is renewed.
 	replaced bool
-	// process is what is believed of the process that answers.
-	process liveness.Belief
+	// belief is what is believed of the process that answers.
+	belief liveness.Belief
 	// saidLeaving is whether the replica has said in an answer that it is leaving. It stays set in the same way.
 	saidLeaving bool
 	// evacuated is whether the availability zone of the replica is evacuated.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -89,7 +89,7 @@
 // SetReplica adds a replica or updates its listed properties. Load and learned statistics are kept unless the
 // address has changed.
 func (s *Scheduler) SetReplica(listed Replica) {
-	process := s.processOf(listed)
+	belief := s.beliefWhenListed(listed)
 	old := s.replicas[listed.ID]
 	if old == nil || old.Address != listed.Address {
 		s.forgetAddress(old)
@@ -104,7 +104,7 @@
 	} else {
 		old.Replica = listed
 	}
-	s.replicas[listed.ID].process = process
+	s.replicas[listed.ID].belief = belief
 	s.replicas[listed.ID].evacuated = s.evacuated[listed.Zone]
 	s.pools = nil
 }
@@ -295,9 +295,9 @@
 	if r := s.replicas[id]; r != nil {
 		r.saidLeaving, r.replaced = false, false
 	}
-	if process := s.process(id); process != nil {
-		doubtedSince = process.DoubtedSince()
-		*process = process.WithRenewal()
+	if belief := s.belief(id); belief != nil {
+		doubtedSince = belief.DoubtedSince()
+		*belief = belief.WithRenewal()
 	}
 	return doubtedSince
 }
@@ -347,7 +347,7 @@
 func (s *Scheduler) candidates(now time.Time, c criteria) []*replica {
 	var preferred, fallback []*replica
 	for _, r := range s.pool(c.pool) {
-		if !s.matches(r, c) || c.versions.Limited && r.process.Doubted(now) {
+		if !s.matches(r, c) || c.versions.Limited && r.belief.Doubted(now) {
 			continue
 		}
 		if c.stage == StageNone && !s.allows(now, r.ID) {
