liveness: a found start renews a replica once

Found by reading the diff, before any landing: a process that a check had found before its entry counted as a new one with each further entry, so that a heartbeat ended what the replica had said of leaving, and an entry of an older copy of the store could bring it back. Cause: the start that was found is kept after the renewal, for answers that are under way, and Confirms compared with it alone. Change: it confirms an entry only while the doubt lasts that it caused.

--- a/gateway/renewed_replica_test.go
+++ b/gateway/renewed_replica_test.go
@@ -32,3 +32,27 @@
 		})
 	}
 }
+
+// TestHeartbeatOfARestartedReplicaRenewsIt guards against a process that was found before its entry and counts as a new one with each further
+// entry, so that it gets work although it has said that it is leaving, and with an entry of an older copy of the store.
+func TestHeartbeatOfARestartedReplicaRenewsIt(t *testing.T) {
+	t.Parallel()
+	s := newCheckingServer(t)
+	replica := placement.Replica{ID: "r", Pool: "p", Slots: 1, Born: 7, Stage: placement.StageDecode, SoftwareVersion: "v1", Address: "127.0.0.1:1"}
+	runControl(t, s, replica)
+	s.recordProcess(replica, liveness.Finding{State: liveness.Restarted, Born: 8, At: time.Now()})
+	renewed := replica
+	renewed.Born = 8
+	write := func(sequence int64, restored bool) {
+		s.control.ApplyReplicas(ReplicaUpdate{Next: 2, Restored: restored, Listed: []placement.Replica{renewed}, versions: map[string]EntryVersion{"r": {Born: 8, Sequence: sequence}}})
+	}
+	write(1, false)
+	s.control.observeLeaving(renewed, ResponseInfo{Leaving: true})
+	serves := func() bool { return ask(s.control, func() bool { return s.control.scheduler.Serves("r") }) }
+	assert.False(t, serves())
+	write(2, false)
+	assert.False(t, serves(), "a heartbeat")
+	write(1, true)
+	assert.False(t, serves(), "an entry of an older copy of the store")
+	assert.True(t, s.control.hasAnswered(t.Context(), renewed, 8, time.Now()), "what was found before stays known")
+}
--- a/liveness/belief.go
+++ b/liveness/belief.go
@@ -75,13 +75,15 @@
 	return since
 }
 
-// Confirms reports whether an entry of a process that started at a time is of the one that was found to have started again. Clocks may go
-// back between two processes, so that the later one is not the one with the later start.
-func (b Belief) Confirms(born int64) bool { return b.restarted != 0 && b.restarted == born }
+// Confirms reports whether an entry of a process that started at a time is of the one that was found in place of the listed one. Clocks may
+// go back between two processes, so that the later one is not the one with the later start.
+func (b Belief) Confirms(born int64) bool {
+	return b.evidence == Restarted && b.restarted != 0 && b.restarted == born
+}
 
 // HasAnswered reports whether another process than the listed one, which started at a time, was found to answer before a moment.
 func (b Belief) HasAnswered(born int64, before time.Time) bool {
-	return b.Confirms(born) && !b.restartedAt.IsZero() && b.restartedAt.Before(before)
+	return b.restarted == born && !b.restartedAt.IsZero() && b.restartedAt.Before(before)
 }
 
 // DoubtedSince returns since when another process than the listed one may answer, or zero.
